Eject on the first reset, try endpoints by real requests, judge times by route

Cause: endpoints of the platform fail by resets for 2 to 20 s while their health is good, at 1 to 5 requests/s each. Evidence meant for 20 requests/s needed three lost requests, a failing endpoint looked free and drew more, the floor kept it in rotation at full share, and requests of a fast route (1 ms) made those of a slow one (500 ms) look stalled, so that sound endpoints were ejected.

Change: DetectorPolicy::sparse() (one reset ejects; after 1 s real repeatable requests are the trial, no probes, no ramp); the owner refuses work for a suspect that the floor does not hold; the picker leaves out what just failed and takes held suspects only when nothing sound is left; baselines per route.

Tests not adapted yet.

--- a/include/berylspur/owner/gray_detector.h
+++ b/include/berylspur/owner/gray_detector.h
@@ -11,12 +11,31 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace berylspur {
 
 enum class DetectionMode { Gray, Probes, ConsecutiveErrors };
 
+/// How much evidence of errors ejects an endpoint, and how it returns.
+struct DetectorPolicy
+{
+    double errorThreshold = 12; ///< natural logarithm of a likelihood ratio
+    double resetHit = 4; ///< evidence of one reset
+    Duration firstDelay = std::chrono::seconds(2); ///< from the ejection to the first trial
+    Duration longestDelay = std::chrono::seconds(120); ///< the delay doubles up to this
+    std::uint32_t trialRequests = 5; ///< that a trial must pass
+    bool probes = true; ///< a passed probe opens the trial; idle endpoints are probed
+    bool admitsSuspect = true; ///< the owner leaves it to the gates to avoid a suspect
+    bool ramp = true; ///< the share of requests grows step by step after the trial
+
+    /// For services with a few requests a second at each endpoint, where gray failures last seconds:
+    /// waiting for more evidence would cost more requests than a wrong ejection does. Health answers
+    /// say nothing about such failures, so real requests that may be repeated are the trial.
+    static DetectorPolicy sparse();
+};
+
 /// How a real request at the endpoint ended.
 enum class WorkOutcome {
     Answered, ///< whole answer, status below 500
@@ -55,17 +74,19 @@
 class GrayDetector
 {
 public:
-    explicit GrayDetector(DetectionMode mode = DetectionMode::Gray);
+    explicit GrayDetector(DetectionMode mode = DetectionMode::Gray, DetectorPolicy policy = {});
 
     /// A real request was sent to the endpoint.
-    void started(const RequestId &id, WorkClass workClass, TimePoint now);
+    void started(const RequestId &id, WorkClass workClass, TimePoint now,
+                 const std::string &route = {});
     /// The first byte of its answer arrived (stall detection ends here for long answers).
     void firstByte(const RequestId &id, TimePoint now);
     void finished(const RequestId &id, WorkOutcome outcome, TimePoint now);
 
     /// A recent time to first byte at another endpoint of the service, as a dispatch carried it.
-    /// The baseline is the median of the last 32; fewer than 4 judge nothing.
-    void baseline(WorkClass workClass, Duration time, TimePoint now);
+    /// The baseline is the median of the last 32; fewer than 4 judge nothing. Routes have baselines
+    /// of their own: requests of one route would make those of a slower one look stalled.
+    void baseline(WorkClass workClass, Duration time, TimePoint now, const std::string &route = {});
 
     /// A probe ended. It never clears suspicion about real requests; it only opens the way to a
     /// trial.
@@ -99,10 +120,14 @@
     void heldByFloor(bool held);
 
 private:
+    /// Index of the baseline of a class and route.
+    using Kind = std::size_t;
+
     struct InFlight
     {
         RequestId id;
         WorkClass workClass = WorkClass::Short;
+        Kind kind = 0;
         TimePoint started;
         bool answering = false; ///< first byte seen
         bool exempt = false; ///< started during a cold start, or before the last change of phase
@@ -136,7 +161,7 @@
     {
         double us = 0;
         double baselineUs = 0; ///< when it was judged first
-        WorkClass workClass = WorkClass::Short;
+        Kind kind = 0;
         bool ended = false;
     };
     /// Recent times to first byte of one class.
@@ -154,7 +179,8 @@
     double judgeInFlight(TimePoint now);
     double judgeAgain(TimePoint now);
     static double evidenceInFlight(const InFlight &request, double baselineUs, TimePoint now);
-    double strictBaselineUs(WorkClass workClass, TimePoint now) const;
+    Kind kindOf(WorkClass workClass, const std::string &route);
+    double strictBaselineUs(Kind kind, TimePoint now) const;
     static double slowRatio(const Judged &judged, double baselineUs);
     double slowness(const InFlight &request, TimePoint now) const;
     void suspect(const std::string &rule, std::uint32_t severity,
@@ -165,6 +191,7 @@
     double bar(double evidence) const;
 
     DetectionMode m_mode;
+    DetectorPolicy m_policy;
     DetectorPhase m_phase = DetectorPhase::Trusted;
     std::string m_rule;
     std::uint32_t m_severity = 0;
@@ -172,7 +199,8 @@
     std::vector<DetectorChange> m_changes;
 
     std::vector<InFlight> m_inFlight; ///< at most the slots, so a linear search is cheap
-    std::array<Baseline, 2> m_baselines; ///< per class
+    std::vector<Baseline> m_baselines; ///< by kind; the first two are the classes without a route
+    std::unordered_map<std::string, Kind> m_kinds; ///< by class and route; bounded by MaxKinds
     std::array<Samples, 2> m_samples;
     std::array<Judged, 64> m_judged; ///< ring; the evidence on times comes from these
     std::size_t m_judgedCount = 0;
--- a/include/berylspur/routing/endpoint_picker.h
+++ b/include/berylspur/routing/endpoint_picker.h
@@ -48,6 +48,9 @@
     void ended(const std::string &endpoint);
     /// The owner's figures as they came with an answer.
     void reported(const std::string &endpoint, const ReportedLoad &load, TimePoint now);
+    /// The endpoint just failed a request or its owner suspects it; other gates may not know yet. It
+    /// is left out for ReportTerm while others can take the request.
+    void failed(const std::string &endpoint, TimePoint now);
     /// Forgets endpoints that are not in \a known.
     void retain(const std::unordered_set<std::string> &known);
     std::size_t size() const;
@@ -58,6 +61,7 @@
         ReportedLoad report;
         TimePoint reportedAt {};
         bool hasReport = false;
+        std::optional<TimePoint> failedAt;
         std::uint32_t inFlight = 0; ///< own requests
         /// Own requests sent since the report, which its figures do not contain. At most inFlight.
         std::uint32_t sentSince = 0;
@@ -72,6 +76,7 @@
         std::uint32_t inFlight = 0;
     };
 
+    bool hasFailedLately(const std::string &endpoint, TimePoint now) const;
     Estimate estimate(const EndpointView &endpoint, TimePoint now) const;
     bool isBetter(const Estimate &left, const Estimate &right) const;
 
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -364,9 +364,10 @@
     dispatch.set_route(m_routeKey);
     dispatch.set_owner_incarnation(m_incarnation);
     if (const auto *config = m_context.routes.service(m_service)) {
-        const auto &view = m_context.views.current(*config);
-        const auto time =
-                view.serviceTimes[static_cast<int>(m_workClass)].otherThan(m_endpoint, now);
+        const auto &times = m_context.views.current(*config).serviceTimes;
+        const auto found = times.find({m_workClass, m_routeKey});
+        const auto time = found == times.end() ? Duration::zero()
+                                               : found->second.otherThan(m_endpoint, now);
         dispatch.set_baseline_us(static_cast<std::uint32_t>(time.count()));
     }
     return dispatch.SerializeAsString();
@@ -390,6 +391,10 @@
                 {load.slots(), load.free_slots(), load.queued(), Duration(load.mean_service_us())},
                 now);
     }
+    const auto code = errorFromNumber(reply.code());
+    if (reply.load().suspicion() > 0 || code == ErrorCode::EndpointFailed
+        || code == ErrorCode::EndpointResponseInvalid)
+        m_context.picker.failed(m_endpoint, now);
     if (reply.code() != 0) {
         m_refused = true;
         endAttempt();
@@ -397,7 +402,6 @@
                 std::max<Duration>(m_retryAfter, std::chrono::milliseconds(reply.retry_after_ms()));
         m_exchange->cancel();
         m_exchange.reset();
-        const auto code = errorFromNumber(reply.code());
         if (isNotRun(code)) {
             retry(code, code == ErrorCode::NotRunEndpointRefused);
         } else if (m_idempotent) {
@@ -412,8 +416,11 @@
     constexpr std::uint32_t FirstServerError = 500;
     const auto *config = m_context.routes.service(m_service);
     if (config && reply.status() < FirstServerError) {
-        m_context.views.current(*config).serviceTimes[static_cast<int>(m_workClass)].add(
-                m_endpoint, Duration(reply.service_us()), BootClock::now());
+        constexpr std::size_t MaxRoutes = 1024;
+        auto &times = m_context.views.current(*config).serviceTimes;
+        if (times.size() >= MaxRoutes)
+            times.clear();
+        times[{m_workClass, m_routeKey}].add(m_endpoint, Duration(reply.service_us()), now);
     }
     auto headers = headersOf(reply);
     headers.emplace_back(RequestIdHeader, m_id.toHex());
--- a/src/gate/service_view.h
+++ b/src/gate/service_view.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace berylspur {
@@ -20,7 +21,8 @@
     std::vector<EndpointView> endpoints;
     Rotation rotation;
     std::uint64_t viewVersion = 0; // 1 + version of the member table; 0: never computed
-    ForeignTimes serviceTimes[2]; // by WorkClass
+    // By class and route. Forgotten as a whole when there are too many.
+    std::map<std::pair<WorkClass, std::string>, ForeignTimes> serviceTimes;
 };
 
 /// Endpoints and rotation of each service, computed when the member table changed.
--- a/src/owner/gray_detector.cpp
+++ b/src/owner/gray_detector.cpp
@@ -20,7 +20,6 @@
 /// Evidence (natural logarithm of a likelihood ratio) that suspects an endpoint. exp(18) is about
 /// 6e7 requests between two false alarms in the model.
 constexpr double Threshold = 18;
-constexpr double ErrorThreshold = 12;
 /// After an ejection less evidence suffices: the prior is no longer that the endpoint is healthy.
 constexpr double RampThreshold = 8;
 
@@ -64,23 +63,19 @@
 
 /// Test of errors: 30% errors against 1%.
 constexpr double ErrorHit = 3.4;
-constexpr double ResetHit = 4.0;
 constexpr double ErrorMiss = -0.35;
 /// A response that stalls after its first byte may also be a slow reader's.
 constexpr double CutHit = 1.7;
 /// An endpoint that sheds now and then controls its load; one that sheds nearly all is not serving.
 constexpr double ShedHit = 0.6;
 
-constexpr Duration FirstDelay = std::chrono::seconds(2);
-constexpr Duration LongestDelay = std::chrono::seconds(120);
-/// Trusted for this long: the delay starts from FirstDelay again.
+/// Trusted for this long: the delay starts from the first one again.
 constexpr Duration FlapMemory = std::chrono::seconds(120);
 
 constexpr Duration ProbeInterval = std::chrono::seconds(1);
 constexpr Duration IdleProbeInterval = std::chrono::seconds(5);
 constexpr std::uint32_t ProbeFailures = 3;
 
-constexpr std::uint32_t TrialRequests = 5;
 /// A service without idempotent requests would never pass a trial; after this long without a
 /// request in the trial any request is admitted, still one at a time.
 constexpr Duration TrialPatience = std::chrono::seconds(30);
@@ -92,6 +87,9 @@
 constexpr std::uint32_t ConsecutiveErrors = 5;
 constexpr Duration ConsecutiveEjection = std::chrono::seconds(10);
 
+/// Routes with a baseline of their own; the others share that of their class.
+constexpr std::size_t MaxKinds = 256;
+
 std::size_t indexOf(WorkClass workClass)
 {
     return workClass == WorkClass::Short ? 0 : 1;
@@ -118,11 +116,46 @@
     events = sum == 0 ? 0 : events + 1;
 }
 
-GrayDetector::GrayDetector(DetectionMode mode) : m_mode(mode), m_delay(FirstDelay) { }
+DetectorPolicy DetectorPolicy::sparse()
+{
+    DetectorPolicy policy;
+    // One reset, or two errors within about ten requests.
+    policy.errorThreshold = 6;
+    policy.resetHit = 6;
+    policy.firstDelay = std::chrono::seconds(1);
+    policy.longestDelay = std::chrono::seconds(2);
+    policy.trialRequests = 2;
+    policy.probes = false;
+    policy.ramp = false;
+    policy.admitsSuspect = false;
+    return policy;
+}
 
-void GrayDetector::started(const RequestId &id, WorkClass workClass, TimePoint now)
+GrayDetector::GrayDetector(DetectionMode mode, DetectorPolicy policy)
+    : m_mode(mode), m_policy(policy), m_baselines(2), m_delay(policy.firstDelay)
 {
-    m_inFlight.push_back({id, workClass, now, false, now < m_coldUntil, false});
+}
+
+GrayDetector::Kind GrayDetector::kindOf(WorkClass workClass, const std::string &route)
+{
+    if (route.empty())
+        return indexOf(workClass);
+    const auto key = (workClass == WorkClass::Short ? "s " : "l ") + route;
+    const auto found = m_kinds.find(key);
+    if (found != m_kinds.end())
+        return found->second;
+    if (m_kinds.size() >= MaxKinds)
+        return indexOf(workClass);
+    m_baselines.emplace_back();
+    m_kinds.emplace(key, m_baselines.size() - 1);
+    return m_baselines.size() - 1;
+}
+
+void GrayDetector::started(const RequestId &id, WorkClass workClass, TimePoint now,
+                           const std::string &route)
+{
+    m_inFlight.push_back(
+            {id, workClass, kindOf(workClass, route), now, false, now < m_coldUntil, false});
     m_lastWork = now;
     if (m_phase == DetectorPhase::Trial)
         ++m_trialStarted;
@@ -163,11 +196,12 @@
     }
 }
 
-void GrayDetector::baseline(WorkClass workClass, Duration time, TimePoint now)
+void GrayDetector::baseline(WorkClass workClass, Duration time, TimePoint now,
+                            const std::string &route)
 {
     if (time <= Duration::zero())
         return;
-    Baseline &baseline = m_baselines[indexOf(workClass)];
+    Baseline &baseline = m_baselines[kindOf(workClass, route)];
     const auto us = static_cast<double>(time.count());
     // A gate repeats its last sample until it has another. The repeat shows that no newer one is
     // known, but counting it every time would take a few samples for a sound median.
@@ -209,9 +243,9 @@
     return std::max(LeastBaselineUs, *middle);
 }
 
-double GrayDetector::strictBaselineUs(WorkClass workClass, TimePoint now) const
+double GrayDetector::strictBaselineUs(Kind kind, TimePoint now) const
 {
-    const Baseline &baseline = m_baselines[indexOf(workClass)];
+    const Baseline &baseline = m_baselines[kind];
     return std::max(baseline.us, baseline.median(now - RecentBaseline));
 }
 
@@ -247,12 +281,14 @@
     if (m_mode != DetectionMode::Gray)
         return;
     judgeTimes(now);
+    if (m_phase == DetectorPhase::Suspect && !m_policy.probes && now - m_phaseSince >= m_delay)
+        changeTo(DetectorPhase::Trial, "delay-ended", {{"delay ms", double(toMs(m_delay))}}, now);
     if (m_phase == DetectorPhase::Ramp && now - m_phaseSince >= (m_rampStep + 1) * RampStep) {
         if (++m_rampStep >= RampSteps.size())
             changeTo(DetectorPhase::Trusted, "ramp-complete", {}, now);
     }
     if (m_phase == DetectorPhase::Trusted && now - m_phaseSince >= FlapMemory) {
-        m_delay = FirstDelay;
+        m_delay = m_policy.firstDelay;
         m_hasFlapped = false;
     }
     m_trialPatienceOver = m_phase == DetectorPhase::Trial
@@ -298,7 +334,7 @@
 
 bool GrayDetector::wantsProbe(TimePoint now) const
 {
-    if (m_mode == DetectionMode::ConsecutiveErrors)
+    if (m_mode == DetectionMode::ConsecutiveErrors || !m_policy.probes)
         return false;
     const bool due = m_lastProbe == TimePoint::min() || now - m_lastProbe >= ProbeInterval;
     if (m_mode == DetectionMode::Probes)
@@ -313,7 +349,12 @@
 
 bool GrayDetector::admits(bool idempotent, std::uint32_t running) const
 {
-    if (m_phase != DetectorPhase::Trial || m_heldByFloor)
+    if (m_heldByFloor)
+        return true;
+    // Gates learn of a suspicion a moment later than the owner.
+    if (m_phase == DetectorPhase::Suspect)
+        return m_policy.admitsSuspect;
+    if (m_phase != DetectorPhase::Trial)
         return true;
     return running == 0 && (idempotent || m_trialPatienceOver);
 }
@@ -348,7 +389,7 @@
         m_errors.add(ErrorHit);
         break;
     case WorkOutcome::Reset:
-        m_errors.add(ResetHit);
+        m_errors.add(m_policy.resetHit);
         break;
     case WorkOutcome::Shed:
         m_errors.add(ShedHit);
@@ -367,7 +408,7 @@
         finishTrial(outcome, slowness(request, now), now);
         return;
     }
-    if (m_phase != DetectorPhase::Suspect && m_errors.sum >= bar(ErrorThreshold)) {
+    if (m_phase != DetectorPhase::Suspect && m_errors.sum >= bar(m_policy.errorThreshold)) {
         suspect("errors", 80, {{"evidence", m_errors.sum}, {"requests", double(m_errors.events)}},
                 now);
     }
@@ -385,18 +426,19 @@
     // One slow request among five happens to a healthy endpoint, two rarely.
     if (m_trialSlow >= 2) {
         suspect("trial-slow", 70, {{"slow", double(m_trialSlow)}}, now);
-    } else if (m_trialPassed >= TrialRequests) {
-        changeTo(DetectorPhase::Ramp, "trial-passed", {{"requests", double(m_trialPassed)}}, now);
+    } else if (m_trialPassed >= m_policy.trialRequests) {
+        changeTo(m_policy.ramp ? DetectorPhase::Ramp : DetectorPhase::Trusted, "trial-passed",
+                 {{"requests", double(m_trialPassed)}}, now);
     }
 }
 
 void GrayDetector::judgeTime(const InFlight &request, bool ended, TimePoint now)
 {
-    const double baselineUs = m_baselines[indexOf(request.workClass)].us;
+    const double baselineUs = m_baselines[request.kind].us;
     if (baselineUs == 0 || request.exempt)
         return;
     const double us = std::max<double>(1, static_cast<double>((now - request.started).count()));
-    const Judged judged {us, baselineUs, request.workClass, ended};
+    const Judged judged {us, baselineUs, request.kind, ended};
     m_judged[m_judgedCount++ % m_judged.size()] = judged;
     m_slow.add(slowRatio(judged, baselineUs));
     if (!request.countedStalled && us < StallSlowness * baselineUs)
@@ -413,20 +455,21 @@
 
 double GrayDetector::judgeAgain(TimePoint now)
 {
-    const std::array<double, 2> strict {strictBaselineUs(WorkClass::Short, now),
-                                        strictBaselineUs(WorkClass::Long, now)};
+    std::vector<double> strict;
+    for (Kind kind = 0; kind < m_baselines.size(); ++kind)
+        strict.push_back(strictBaselineUs(kind, now));
     m_slow = m_stalls = {};
     const std::size_t count = std::min(m_judgedCount, m_judged.size());
     for (std::size_t i = m_judgedCount - count; i < m_judgedCount; ++i) {
         const Judged &judged = m_judged[i % m_judged.size()];
-        const double baselineUs = std::max(judged.baselineUs, strict[indexOf(judged.workClass)]);
+        const double baselineUs = std::max(judged.baselineUs, strict[judged.kind]);
         m_slow.add(slowRatio(judged, baselineUs));
         const bool isStalled = judged.us >= StallSlowness * baselineUs;
         m_stalls.add(isStalled ? StallHit : StallMiss);
     }
     double inFlight = 0;
     for (const InFlight &request : m_inFlight)
-        inFlight += evidenceInFlight(request, strict[indexOf(request.workClass)], now);
+        inFlight += evidenceInFlight(request, strict[request.kind], now);
     return inFlight;
 }
 
@@ -434,7 +477,7 @@
 {
     double evidence = 0;
     for (InFlight &request : m_inFlight) {
-        const double baselineUs = m_baselines[indexOf(request.workClass)].us;
+        const double baselineUs = m_baselines[request.kind].us;
         const double share = evidenceInFlight(request, baselineUs, now);
         evidence += share;
         if (share > 0 && !request.countedStalled && slowness(request, now) >= StallSlowness) {
@@ -496,7 +539,7 @@
 
 double GrayDetector::slowness(const InFlight &request, TimePoint now) const
 {
-    const double baselineUs = m_baselines[indexOf(request.workClass)].us;
+    const double baselineUs = m_baselines[request.kind].us;
     const double us = std::max<double>(1, static_cast<double>((now - request.started).count()));
     return baselineUs == 0 ? 1 : us / baselineUs;
 }
@@ -508,7 +551,7 @@
         return;
     // Every further ejection soon after the last one doubles the delay.
     if (m_phase == DetectorPhase::Trial || m_phase == DetectorPhase::Ramp || m_hasFlapped)
-        m_delay = std::min(LongestDelay, 2 * m_delay);
+        m_delay = std::min(m_policy.longestDelay, 2 * m_delay);
     m_hasFlapped = true;
     m_severity = severity;
     changeTo(DetectorPhase::Suspect, rule, std::move(figures), now);
--- a/src/owner/owned_endpoint.h
+++ b/src/owner/owned_endpoint.h
@@ -37,8 +37,9 @@
 struct OwnedEndpoint
 {
     OwnedEndpoint(event_base *base, const Announcement &announcement, SchedulerPolicy policy,
-                  DetectionMode detection)
-        : info(announcement), scheduler(announcement.slots, policy), detector(detection),
+                  DetectionMode detection, const DetectorPolicy &detectorPolicy)
+        : info(announcement), scheduler(announcement.slots, policy),
+          detector(detection, detectorPolicy),
           client(std::make_unique<EndpointClient>(base, announcement.address))
     {
     }
--- a/src/owner/owner_report.cpp
+++ b/src/owner/owner_report.cpp
@@ -32,7 +32,8 @@
 /// An endpoint on its way back is no suspect; gates send it a share of its requests only.
 void fillSuspicion(schema::EndpointRecord &record, const GrayDetector &detector)
 {
-    constexpr std::uint32_t TrialPercent = 5;
+    // The owner admits one request of a trial at a time; gates offer enough to have it decided soon.
+    constexpr std::uint32_t TrialPercent = 50;
     if (detector.phase() == DetectorPhase::Trusted)
         return;
     auto *suspicion = record.mutable_suspicion();
--- a/src/owner/owner_task.cpp
+++ b/src/owner/owner_task.cpp
@@ -40,6 +40,11 @@
     }
 }
 
+DetectorPolicy detectorPolicy(schema::DetectionPolicy policy)
+{
+    return policy == schema::DETECTION_SPARSE ? DetectorPolicy::sparse() : DetectorPolicy {};
+}
+
 SchedulerPolicy schedulerPolicy(const schema::NodePolicy &policy)
 {
     SchedulerPolicy result;
@@ -70,6 +75,7 @@
       m_bufferBytes(settings.limits().response_buffer_bytes()), m_incarnation(incarnation),
       m_schedulerPolicy(schedulerPolicy(settings.policy())),
       m_detection(fromSchema(settings.policy().detection())),
+      m_detectorPolicy(detectorPolicy(settings.policy().detection())),
       m_announcements(base, m_node,
                       [this](const Announcement &announcement) { announced(announcement); }),
       m_timer(base, [this] { tick(); })
@@ -130,7 +136,7 @@
         endWork(*slot, BootClock::now());
     if (!slot || restarted || moved) {
         slot = std::make_unique<OwnedEndpoint>(m_base, announcement, m_schedulerPolicy,
-                                               m_detection);
+                                               m_detection, m_detectorPolicy);
         applyDrain(*slot);
         log::info("endpoint-announced", {{"endpoint", announcement.id},
                                          {"service", announcement.service},
@@ -338,7 +344,7 @@
     request.workClass = endpoint->scheduler.effectiveClass(dispatch.route(),
                                                            fromSchema(dispatch.request_class()));
     endpoint->detector.baseline(fromSchema(dispatch.request_class()),
-                                Duration(dispatch.baseline_us()), now);
+                                Duration(dispatch.baseline_us()), now, dispatch.route());
     admit(*endpoint, std::move(request), *id, now);
 }
 
@@ -411,7 +417,7 @@
     handler.ended = [this, &endpoint, id](CallEnd end) { callEnded(endpoint, id, end); };
     request.started = now;
     ++m_runs;
-    endpoint.detector.started(id, request.workClass, now);
+    endpoint.detector.started(id, request.workClass, now, dispatch.route());
     request.call = endpoint.client->start(call, std::move(handler));
 }
 
--- a/src/owner/owner_task_impl.h
+++ b/src/owner/owner_task_impl.h
@@ -122,6 +122,7 @@
     Incarnation m_incarnation;
     SchedulerPolicy m_schedulerPolicy;
     DetectionMode m_detection;
+    DetectorPolicy m_detectorPolicy;
     AnnounceServer m_announcements;
     Timer m_timer;
     PauseDetector m_pause;
--- a/src/routing/endpoint_picker.cpp
+++ b/src/routing/endpoint_picker.cpp
@@ -109,6 +109,11 @@
     const auto isAllowed = [&](std::uint32_t i) {
         return excluded.empty() || !excluded.contains(view[i].id);
     };
+    const auto isIn = [&](std::uint32_t i) {
+        return rotation.entries[i].verdict == RotationVerdict::In
+               && !hasFailedLately(view[i].id, now);
+    };
+    const auto isSound = [&](std::uint32_t i) { return isAllowed(i) && isIn(i); };
 
     Choices choices;
     if (m_mode == PickMode::OwnerLoad) {
@@ -122,10 +127,15 @@
         const auto last = std::upper_bound(first, all.end(), m_ownFailureDomain, after);
         choices = chooseTwo(
                 std::span<const std::uint32_t>(first, last),
-                [&](std::uint32_t i) { return isAllowed(i) && estimate(view[i], now).free > 0; },
+                [&](std::uint32_t i) { return isSound(i) && estimate(view[i], now).free > 0; },
                 random);
     }
-    if (choices.count == 0)
+    if (choices.count == 0 && m_mode == PickMode::OwnerLoad)
+        choices = chooseTwo(all, isSound, random);
+    // Suspects that the floor keeps in rotation are there for the case that no other is left. While
+    // the others are only full, a request is better refused than sent where requests fail.
+    const bool onlySuspects = std::none_of(all.begin(), all.end(), isIn);
+    if (choices.count == 0 && (onlySuspects || m_mode == PickMode::TwoRandom))
         choices = chooseTwo(all, isAllowed, random);
     if (choices.count == 0)
         return std::nullopt;
@@ -135,6 +145,18 @@
     return choices.items[0];
 }
 
+bool EndpointPicker::hasFailedLately(const std::string &endpoint, TimePoint now) const
+{
+    const auto found = m_loads.find(endpoint);
+    return found != m_loads.end() && found->second.failedAt
+           && now - *found->second.failedAt < ReportTerm;
+}
+
+void EndpointPicker::failed(const std::string &endpoint, TimePoint now)
+{
+    m_loads[endpoint].failedAt = now;
+}
+
 void EndpointPicker::sent(const std::string &endpoint)
 {
     Load &load = m_loads[endpoint];
