Speak the objects protocol in the stand-in; reload on SIGHUP; hold the picker's contract

Change: the stand-in has objects by kind, revisions, finalizers, pages, watches with 410, 429, late writes. reload() takes log level, stop times and integration from the file, on SIGHUP or when it changes. Refusing instead of spilling to suspects moved from the picker to the gate, so the picker's property (something is picked while anything is left) holds again.

--- a/include/berylspur/core/log.h
+++ b/include/berylspur/core/log.h
@@ -31,6 +31,9 @@
 /// Sends all log lines to standard output; \a node is part of each line. Called once at start.
 void configure(std::string_view node, Level level);
 
+/// Lowest level that is written from now on.
+void setLevel(Level level);
+
 /// Level with the name \a name ("info"); Level::Info if there is none.
 Level levelFromName(std::string_view name);
 
--- a/include/berylspur/node/node.h
+++ b/include/berylspur/node/node.h
@@ -6,13 +6,15 @@
 #include "berylspur/settings.pb.h"
 
 #include <memory>
+#include <string>
 
 namespace berylspur {
 
 class Node
 {
 public:
-    explicit Node(schema::NodeSettings settings);
+    /// \a settingsFile is read again on SIGHUP and when it changes; empty: never.
+    explicit Node(schema::NodeSettings settings, std::string settingsFile = {});
     ~Node();
     Node(const Node &) = delete;
     Node &operator=(const Node &) = delete;
--- a/include/berylspur/routing/rotation.h
+++ b/include/berylspur/routing/rotation.h
@@ -44,6 +44,9 @@
     /// the endpoints of a domain without a scan.
     std::vector<std::uint32_t> admitted;
     std::uint32_t slotsIn = 0; ///< healthy slots of In and HeldByFloor
+
+    /// True if some endpoint is in rotation for itself, not only held by the floor.
+    bool hasSound() const;
 };
 
 /// Ejects suspects, worst first (ties by id), while the slots that stay in rotation are at least
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -79,6 +79,11 @@
     logger()->setLevel(toLibrary(level));
 }
 
+void setLevel(Level level)
+{
+    logger()->setLevel(toLibrary(level));
+}
+
 Level levelFromName(std::string_view name)
 {
     return enumValue(LevelNames, name).value_or(Level::Info);
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -39,6 +39,11 @@
     }
 }
 
+bool isOverloadRefusal(ErrorCode code)
+{
+    return code == ErrorCode::NotRunQueueFull || code == ErrorCode::NotRunDeadline;
+}
+
 /// Continues the requests that wait for the home's answer about \a key.
 void wakeAwaitingLease(GateContext &context, const std::string &key)
 {
@@ -277,6 +282,12 @@
         picked = m_context.picker.pick(view.endpoints, view.rotation, m_excluded, now,
                                        m_context.random);
     }
+    // The picker takes suspects last. While sound endpoints are only full, a request is better
+    // refused, so that its caller can return, than sent where requests fail.
+    if (picked && isOverloadRefusal(m_lastRefusal)
+        && view.rotation.entries[*picked].verdict == RotationVerdict::HeldByFloor
+        && view.rotation.hasSound())
+        return std::nullopt;
     return picked;
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -16,6 +16,7 @@
 #include "berylspur/record/record_task.h"
 #include "berylspur/routing/floor.h"
 #include "berylspur/routing/rotation.h"
+#include "berylspur/settings/node_settings.h"
 #include "berylspur/transport/peer_pool.h"
 #include "home_task.h"
 #include "platform/check_in_server.h"
@@ -25,6 +26,7 @@
 #include <algorithm>
 #include <cmath>
 #include <csignal>
+#include <filesystem>
 #include <nlohmann/json.hpp>
 
 namespace berylspur {
@@ -38,6 +40,8 @@
 constexpr Duration GossipLeaveDelay = std::chrono::milliseconds(100);
 // A stop that must end within a grace period ends this long before it.
 constexpr Duration GraceMargin = std::chrono::milliseconds(300);
+// The settings file may change without a signal.
+constexpr Duration SettingsInterval = std::chrono::seconds(5);
 // A node asks the platform this long after it joined whether the fleet ever had a manifest.
 constexpr Duration FormationDelay = std::chrono::seconds(1);
 
@@ -91,7 +95,7 @@
 class Node::Impl
 {
 public:
-    explicit Impl(schema::NodeSettings settings);
+    Impl(schema::NodeSettings settings, std::string settingsFile);
     ~Impl();
     Impl(const Impl &) = delete;
     Impl &operator=(const Impl &) = delete;
@@ -113,6 +117,10 @@
     std::optional<ForeignConfiguration> foreignConfiguration() const;
     Result<void> startCheckIns();
     void checkFormation();
+    /// Takes what can change while the node runs from the settings file. \a cause is for the log.
+    void reload(const char *cause);
+    void checkSettingsFile();
+    void applyTimes();
     void beginStop();
     void pollStop();
     void leave(bool keysHandedOver);
@@ -124,6 +132,8 @@
     }
 
     schema::NodeSettings m_settings;
+    std::string m_settingsFile; // empty: not read again
+    std::filesystem::file_time_type m_settingsTime;
     event_base *m_base;
     Incarnation m_incarnation = newIncarnation();
     PeerIdentity m_identity;
@@ -141,17 +151,18 @@
     std::unique_ptr<platform::CheckInServer> m_checkIns;
     std::unique_ptr<PeerServer> m_server;
     Timer m_formationTimer;
+    Timer m_settingsTimer;
     Timer m_stopTimer;
     Timer m_leaveTimer;
-    event *m_signals[2] = {};
+    event *m_signals[3] = {};
     bool m_stopping = false;
     TimePoint m_stopBegan;
     Duration m_stopLimit; // from the signal to the end
     Duration m_stopServing; // new requests are taken for this long after the signal
 };
 
-Node::Impl::Impl(schema::NodeSettings settings)
-    : m_settings(std::move(settings)),
+Node::Impl::Impl(schema::NodeSettings settings, std::string settingsFile)
+    : m_settings(std::move(settings)), m_settingsFile(std::move(settingsFile)),
       m_base(event_base_new()), m_identity {m_settings.fleet(), m_settings.node().name(),
                                             m_incarnation},
       m_names(isIntegrated() ? platform::httpNames() : HttpNames {}), m_decisions(m_settings.node().name(), m_incarnation),
@@ -164,18 +175,13 @@
              std::chrono::seconds(m_settings.limits().key_retention_s())),
       m_records(m_base, m_decisions, m_platform), m_admin(m_base),
       m_formationTimer(m_base, [this] { checkFormation(); }),
+      m_settingsTimer(m_base, [this] { checkSettingsFile(); }),
       m_stopTimer(m_base, [this] { pollStop(); }), m_leaveTimer(m_base, [this] {
           log::info("stopped");
           event_base_loopbreak(m_base);
       })
 {
-    const auto &integration = m_settings.integration();
-    m_stopServing = parseDuration(integration.stop_serving()).value_or(Duration::zero());
-    m_stopLimit = std::chrono::milliseconds(m_settings.limits().stop_limit_ms());
-    if (isIntegrated()) {
-        const auto grace = parseDuration(integration.grace_period()).value_or(m_stopLimit);
-        m_stopLimit = std::min(m_stopLimit, grace - std::min(grace, GraceMargin));
-    }
+    applyTimes();
     connectTasks();
     addPages();
 }
@@ -231,6 +237,11 @@
         m_records.start();
     m_signals[0] = evsignal_new(m_base, SIGTERM, onSignal, this);
     m_signals[1] = evsignal_new(m_base, SIGINT, onSignal, this);
+    m_signals[2] = evsignal_new(
+            m_base, SIGHUP,
+            [](evutil_socket_t, short, void *self) { static_cast<Impl *>(self)->reload("signal"); },
+            this);
+    checkSettingsFile();
     for (auto *signal : m_signals)
         event_add(signal, nullptr);
     log::info("node-started", {{"incarnation", m_incarnation},
@@ -371,6 +382,58 @@
     });
 }
 
+void Node::Impl::applyTimes()
+{
+    const auto &integration = m_settings.integration();
+    m_stopServing = parseDuration(integration.stop_serving()).value_or(Duration::zero());
+    m_stopLimit = std::chrono::milliseconds(m_settings.limits().stop_limit_ms());
+    if (!isIntegrated())
+        return;
+    const auto grace = parseDuration(integration.grace_period()).value_or(m_stopLimit);
+    m_stopLimit = std::min(m_stopLimit, grace - std::min(grace, GraceMargin));
+}
+
+void Node::Impl::checkSettingsFile()
+{
+    if (m_settingsFile.empty())
+        return;
+    m_settingsTimer.start(SettingsInterval);
+    std::error_code error;
+    const auto time = std::filesystem::last_write_time(m_settingsFile, error);
+    if (error) {
+        log::warn("settings-unreadable", {{"file", m_settingsFile}, {"reason", error.message()}});
+        return;
+    }
+    const bool isFirst = m_settingsTime == std::filesystem::file_time_type();
+    if (std::exchange(m_settingsTime, time) != time && !isFirst)
+        reload("file changed");
+}
+
+void Node::Impl::reload(const char *cause)
+{
+    const auto loaded = loadNodeSettings(m_settingsFile);
+    if (!loaded) {
+        log::error("reload-failed", {{"cause", cause}, {"reason", describe(loaded.error())}});
+        return;
+    }
+    auto next = loaded.value();
+    const bool changed = next.SerializeAsString() != m_settings.SerializeAsString();
+    // What the tasks took at start stays until the next one.
+    auto fixed = next;
+    *fixed.mutable_log() = m_settings.log();
+    *fixed.mutable_integration() = m_settings.integration();
+    fixed.mutable_limits()->set_stop_limit_ms(m_settings.limits().stop_limit_ms());
+    const bool needsRestart = fixed.SerializeAsString() != m_settings.SerializeAsString();
+    *m_settings.mutable_log() = next.log();
+    *m_settings.mutable_integration() = next.integration();
+    m_settings.mutable_limits()->set_stop_limit_ms(next.limits().stop_limit_ms());
+    log::setLevel(log::levelFromName(m_settings.log().level()));
+    applyTimes();
+    log::info("reloaded", {{"cause", cause},
+                           {"changed", changed ? "yes" : "no"},
+                           {"needs-restart", needsRestart ? "yes" : "no"}});
+}
+
 void Node::Impl::beginStop()
 {
     if (std::exchange(m_stopping, true)) {
@@ -496,7 +559,10 @@
     });
 }
 
-Node::Node(schema::NodeSettings settings) : m_impl(std::make_unique<Impl>(std::move(settings))) { }
+Node::Node(schema::NodeSettings settings, std::string settingsFile)
+    : m_impl(std::make_unique<Impl>(std::move(settings), std::move(settingsFile)))
+{
+}
 
 Node::~Node() = default;
 
--- a/src/owner/endpoint_client.h
+++ b/src/owner/endpoint_client.h
@@ -82,6 +82,7 @@
     EndpointClient &operator=(const EndpointClient &) = delete;
 
     std::unique_ptr<EndpointCall> start(const CallRequest &request, CallHandler handler);
+    const Address &address() const { return m_address; }
     std::size_t idleConnections() const { return m_idle.size(); }
     /// Connections opened so far.
     std::uint64_t opened() const { return m_opened; }
--- a/src/owner/endpoint_connection.cpp
+++ b/src/owner/endpoint_connection.cpp
@@ -76,6 +76,8 @@
     m_call = &call;
     newParser();
     std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
+    if (headerValue(request.headers, "Host").empty())
+        text.append("Host: ").append(m_client.address().toString()).append("\r\n");
     for (const auto &[name, value] : request.headers)
         text.append(name).append(": ").append(value).append("\r\n");
     if (needsLength(request))
--- a/src/owner/owner_task.cpp
+++ b/src/owner/owner_task.cpp
@@ -71,7 +71,9 @@
     : m_task(task), m_base(base), m_node(settings.node().name()),
       m_announceAddress(settings.addresses().announce()), m_names(names),
       m_listens(settings.integration().mode() == schema::INTEGRATION_NONE),
-      m_leaseTerm(std::chrono::milliseconds(settings.integration().endpoint_lease_ms())),
+      m_leaseTerm(settings.integration().endpoint_lease_ms() == 0
+                          ? EndpointLease::Term
+                          : std::chrono::milliseconds(settings.integration().endpoint_lease_ms())),
       m_bufferBytes(settings.limits().response_buffer_bytes()), m_incarnation(incarnation),
       m_schedulerPolicy(schedulerPolicy(settings.policy())),
       m_detection(fromSchema(settings.policy().detection())),
@@ -766,7 +768,6 @@
     CallRequest call;
     call.method = "GET";
     call.target = healthPath(endpoint.info.service);
-    call.headers.emplace_back("Host", endpoint.info.address.toString());
     CallHandler handler;
     auto status = std::make_shared<std::uint32_t>(0);
     handler.headers = [status](std::uint32_t value, const HeaderList &) { *status = value; };
--- a/src/routing/endpoint_picker.cpp
+++ b/src/routing/endpoint_picker.cpp
@@ -109,11 +109,10 @@
     const auto isAllowed = [&](std::uint32_t i) {
         return excluded.empty() || !excluded.contains(view[i].id);
     };
-    const auto isIn = [&](std::uint32_t i) {
-        return rotation.entries[i].verdict == RotationVerdict::In
+    const auto isSound = [&](std::uint32_t i) {
+        return isAllowed(i) && rotation.entries[i].verdict == RotationVerdict::In
                && !hasFailedLately(view[i].id, now);
     };
-    const auto isSound = [&](std::uint32_t i) { return isAllowed(i) && isIn(i); };
 
     Choices choices;
     if (m_mode == PickMode::OwnerLoad) {
@@ -132,10 +131,8 @@
     }
     if (choices.count == 0 && m_mode == PickMode::OwnerLoad)
         choices = chooseTwo(all, isSound, random);
-    // Suspects that the floor keeps in rotation are there for the case that no other is left. While
-    // the others are only full, a request is better refused than sent where requests fail.
-    const bool onlySuspects = std::none_of(all.begin(), all.end(), isIn);
-    if (choices.count == 0 && (onlySuspects || m_mode == PickMode::TwoRandom))
+    // Suspects that the floor keeps in rotation come last.
+    if (choices.count == 0)
         choices = chooseTwo(all, isAllowed, random);
     if (choices.count == 0)
         return std::nullopt;
--- a/src/routing/rotation.cpp
+++ b/src/routing/rotation.cpp
@@ -28,6 +28,13 @@
 
 } // namespace
 
+bool Rotation::hasSound() const
+{
+    return std::any_of(entries.begin(), entries.end(), [](const RotationEntry &entry) {
+        return entry.verdict == RotationVerdict::In;
+    });
+}
+
 Rotation rotation(const std::vector<EndpointView> &view, const RotationConfig &config)
 {
     Rotation result;
--- a/tests/membership_task_test.cpp
+++ b/tests/membership_task_test.cpp
@@ -15,7 +15,7 @@
     BOOST_TEST(fleet.allSee(1));
     BOOST_TEST(fleet.nodes[0]->membership.isFleetNew());
     BOOST_TEST(fleet.loop.runUntil(
-            [&] { return fleet.platform->store().read("peers/a").has_value(); }));
+            [&] { return fleet.platform->store().read("peers/node-0").has_value(); }));
     fleet.add("b", false);
     fleet.add("a", false);
     BOOST_TEST(fleet.allSee(3));
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -43,18 +43,69 @@
 // Guards against a watch that misses a write or costs more than one call while it waits.
 BOOST_FIXTURE_TEST_CASE(watch_waits_for_the_next_version, PlatformFixture)
 {
-    const auto first = write("head", "one").value();
+    const auto first = write("config/head", "one").value();
     std::optional<Result<PlatformObject>> seen;
-    client.watch("head", first, [&seen](Result<PlatformObject> object) { seen.emplace(object); });
-    BOOST_TEST(write("other", "x").has_value());
+    client.watch("config/head", first,
+                 [&seen](Result<PlatformObject> object) { seen.emplace(object); });
+    BOOST_TEST(write("other/x", "x").has_value());
     BOOST_TEST(!seen.has_value());
-    BOOST_TEST(write("head", "two").has_value());
+    BOOST_TEST(write("config/head", "two").has_value());
     runUntil([&seen] { return seen.has_value(); });
     BOOST_REQUIRE(seen->has_value());
     BOOST_TEST(seen->value().value == "two");
     BOOST_TEST(server.accounting().watch == 1u);
 }
 
+// Guards against a watch that ends with the change of another object of the kind.
+BOOST_FIXTURE_TEST_CASE(watch_goes_on_after_a_change_of_another_object, PlatformFixture)
+{
+    const auto first = write("config/head", "one").value();
+    std::optional<Result<PlatformObject>> seen;
+    client.watch("config/head", first,
+                 [&seen](Result<PlatformObject> object) { seen.emplace(object); });
+    runUntil([this] { return server.waitingCalls() == 1; });
+    BOOST_TEST(write("config/other", "x").has_value());
+    runUntil([this] { return server.accounting().watch == 2; });
+    BOOST_TEST(!seen.has_value());
+    BOOST_TEST(write("config/head", "two").has_value());
+    runUntil([&seen] { return seen.has_value(); });
+    BOOST_TEST(seen->value().value == "two");
+}
+
+// Guards against a watch that is stuck once the store has dropped the history since the last change.
+BOOST_FIXTURE_TEST_CASE(watch_survives_a_dropped_history, PlatformFixture)
+{
+    const auto first = write("config/head", "one").value();
+    std::optional<Result<PlatformObject>> seen;
+    client.watch("config/head", first,
+                 [&seen](Result<PlatformObject> object) { seen.emplace(object); });
+    runUntil([this] { return server.waitingCalls() == 1; });
+    server.store().write("config/head", "two", first); // nobody is told
+    server.compact();
+    runUntil([&seen] { return seen.has_value(); });
+    BOOST_TEST(seen->value().value == "two");
+}
+
+// Guards against a list that ends with its first page.
+BOOST_FIXTURE_TEST_CASE(list_reads_all_pages, PlatformFixture)
+{
+    constexpr int Objects = 1203;
+    for (int i = 0; i < Objects; ++i)
+        server.put("many/" + std::to_string(10000 + i), "x");
+    const auto list = wait<std::vector<PlatformObject>>(
+            [this](auto done) { client.list("many/", std::move(done)); });
+    BOOST_REQUIRE(list.has_value());
+    BOOST_TEST(list.value().size() == static_cast<std::size_t>(Objects));
+}
+
+// Guards against a refused call that looks like an answer.
+BOOST_FIXTURE_TEST_CASE(too_many_calls_are_unreachable, PlatformFixture)
+{
+    server.faults().tooMany = 1;
+    BOOST_TEST(codeOf(write("a/b", "x", 0)) == ErrorCode::PlatformUnreachable);
+    BOOST_TEST(write("a/b", "x", 0).has_value());
+}
+
 // Guards against a lost response that passes as "nothing happened": the write took effect, so that
 // the code must leave it open.
 BOOST_FIXTURE_TEST_CASE(lost_response_of_a_write_is_a_timeout, PlatformFixture)
--- a/tests/schema_generator.h
+++ b/tests/schema_generator.h
@@ -59,6 +59,12 @@
     }
     if (pattern == "[A-Za-z0-9-]{1,64}")
         return pickText(lower + "ABCXYZ-", 1, 64);
+    if (pattern == "[A-Za-z0-9._-]{1,128}")
+        return pickText(lower + "ABCXYZ._-", 1, 128);
+    if (pattern == "[01]([.][0-9]+)?")
+        return pickOf({"0", "1", "0.25", "1.0", "0.7"});
+    if (pattern == "[0-9]+([.][0-9]+)?(ms|s)")
+        return pickOf({"0s", "6s", "2.5s", "1500ms", "300s"});
     throw std::logic_error("no generator for the pattern " + pattern);
 }
 
@@ -77,6 +83,9 @@
             {"DETECTION_GRAY", "gray"},
             {"DETECTION_PROBES", "probes"},
             {"DETECTION_CONSECUTIVE_ERRORS", "consecutive-errors"},
+            {"DETECTION_SPARSE", "sparse"},
+            {"INTEGRATION_NONE", "none"},
+            {"INTEGRATION_PLATFORM", "platform"},
             {"QUEUE_DEADLINE", "deadline"},
             {"QUEUE_UNLIMITED", "unlimited"},
             {"CLASS_RESERVE", "reserve"},
--- a/tests/standin/object_store.h
+++ b/tests/standin/object_store.h
@@ -1,8 +1,13 @@
-// Object store of the platform stand-in: versions, conditional updates, and faults that tests set.
+// Object store of the platform stand-in: objects by kind and name, revisions, conditional writes,
+// finalizers, a history for watches, and faults that tests set.
 #pragma once
 
+#include <boost/algorithm/hex.hpp>
 #include <cstdint>
+#include <deque>
+#include <iterator>
 #include <map>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
 #include <utility>
@@ -10,6 +15,26 @@
 
 namespace berylspur::standin {
 
+using Json = nlohmann::json;
+
+inline std::string toHex(const std::string &bytes)
+{
+    std::string text;
+    boost::algorithm::hex_lower(bytes.begin(), bytes.end(), std::back_inserter(text));
+    return text;
+}
+
+/// Bytes of an object that the fleet wrote; JSON text of any other.
+inline std::string bytesOf(const Json &specification)
+{
+    if (!specification.is_string())
+        return specification.dump();
+    const auto text = specification.get<std::string>();
+    std::string bytes;
+    boost::algorithm::unhex(text.begin(), text.end(), std::back_inserter(bytes));
+    return bytes;
+}
+
 struct StoredObject
 {
     std::uint64_t version = 0;
@@ -25,18 +50,34 @@
     std::uint64_t version = 0;
 };
 
-/// Versions come from one counter and rise with each write. Reads see the newest state, or while a
-/// snapshot is held the state at that time; writes always work on the newest state.
+/// Versions come from one counter and rise with each change. Reads see the newest state, or while a
+/// snapshot is held the state at that time; writes always work on the newest state. Names have the
+/// form "kind/name".
 class ObjectStore
 {
 public:
+    struct Event
+    {
+        std::uint64_t revision = 0;
+        std::string name;
+        Json object;
+        bool deleted = false;
+    };
+
     std::optional<StoredObject> read(const std::string &name) const
+    {
+        const auto object = find(name);
+        if (!object)
+            return std::nullopt;
+        return StoredObject {(*object)["metadata"]["revision"].get<std::uint64_t>(),
+                             bytesOf((*object)["spec"])};
+    }
+
+    std::optional<Json> find(const std::string &name) const
     {
         const auto &objects = visible();
         const auto found = objects.find(name);
-        if (found == objects.end())
-            return std::nullopt;
-        return found->second;
+        return found == objects.end() ? std::nullopt : std::optional(found->second);
     }
 
     std::vector<std::pair<std::string, std::uint64_t>> list(const std::string &prefix) const
@@ -45,26 +86,92 @@
         const auto &objects = visible();
         for (auto entry = objects.lower_bound(prefix);
              entry != objects.end() && entry->first.starts_with(prefix); ++entry)
-            found.emplace_back(entry->first, entry->second.version);
+            found.emplace_back(entry->first,
+                               entry->second["metadata"]["revision"].get<std::uint64_t>());
         return found;
     }
 
-    /// Writes if the version of \a name is \a expected; 0 means that it must not exist, nothing
-    /// that any version will do.
-    WriteOutcome write(const std::string &name, std::string value,
+    /// Writes bytes as the fleet does, if the version of \a name is \a expected; 0 means that it
+    /// must not exist, nothing that any version will do.
+    WriteOutcome write(const std::string &name, const std::string &value,
                        std::optional<std::uint64_t> expected)
+    {
+        return put(name, toHex(value), expected);
+    }
+
+    /// Writes a specification; finalizers are replaced where \a finalizers is an array.
+    WriteOutcome put(const std::string &name, const Json &specification,
+                     std::optional<std::uint64_t> expected, const Json &finalizers = {})
     {
         const auto found = m_objects.find(name);
-        const std::uint64_t current = found == m_objects.end() ? 0 : found->second.version;
+        const std::uint64_t current = versionOf(found);
         if (expected && *expected != current)
             return {StoreStatus::Conflict, current};
-        m_objects[name] = {++m_lastVersion, std::move(value)};
-        return {StoreStatus::Ok, m_lastVersion};
+        Json object = found == m_objects.end() ? newObject(name) : found->second;
+        const Json before = object;
+        object["spec"] = specification;
+        if (finalizers.is_array())
+            object["metadata"]["finalizers"] = finalizers;
+        if (found != m_objects.end() && object == before)
+            return {StoreStatus::Ok, current};
+        if (object["metadata"]["deletionPending"] == true
+            && object["metadata"]["finalizers"].empty()) {
+            erase(name);
+            return {StoreStatus::Ok, m_revision};
+        }
+        return {StoreStatus::Ok, store(name, std::move(object))};
+    }
+
+    /// Replaces the status.
+    WriteOutcome putStatus(const std::string &name, const Json &status,
+                           std::optional<std::uint64_t> expected)
+    {
+        const auto found = m_objects.find(name);
+        if (found == m_objects.end())
+            return {StoreStatus::NotFound, 0};
+        if (expected && *expected != versionOf(found))
+            return {StoreStatus::Conflict, versionOf(found)};
+        Json object = found->second;
+        object["status"] = status;
+        return {StoreStatus::Ok, store(name, std::move(object))};
     }
 
-    StoreStatus remove(const std::string &name)
+    /// Removes the object, or marks it if it has finalizers.
+    WriteOutcome remove(const std::string &name, std::optional<std::uint64_t> expected = {})
     {
-        return m_objects.erase(name) == 0 ? StoreStatus::NotFound : StoreStatus::Ok;
+        const auto found = m_objects.find(name);
+        if (found == m_objects.end())
+            return {StoreStatus::NotFound, 0};
+        if (expected && *expected != versionOf(found))
+            return {StoreStatus::Conflict, versionOf(found)};
+        if (!found->second["metadata"]["finalizers"].empty()) {
+            Json object = found->second;
+            object["metadata"]["deletionPending"] = true;
+            return {StoreStatus::Ok, store(name, std::move(object))};
+        }
+        erase(name);
+        return {StoreStatus::Ok, m_revision};
+    }
+
+    /// Events of \a kind after \a revision; nothing if that history is gone.
+    std::optional<std::vector<Event>> eventsAfter(const std::string &kind,
+                                                  std::uint64_t revision) const
+    {
+        if (revision < m_historyStart)
+            return std::nullopt;
+        std::vector<Event> events;
+        for (const auto &event : m_history) {
+            if (event.revision > revision && event.name.starts_with(kind + "/"))
+                events.push_back(event);
+        }
+        return events;
+    }
+
+    /// Drops the history: watches from before now fail.
+    void compact()
+    {
+        m_history.clear();
+        m_historyStart = m_revision;
     }
 
     /// Reads see the present state until releaseSnapshot(), whatever is written meanwhile.
@@ -74,25 +181,73 @@
             m_snapshot = m_objects;
     }
     void releaseSnapshot() { m_snapshot.reset(); }
+    bool holdsSnapshot() const { return m_snapshot.has_value(); }
 
     /// The platform loses all data. The version counter goes on.
     void loseAll()
     {
         m_objects.clear();
         m_snapshot.reset();
+        ++m_revision;
+        compact();
     }
 
     std::size_t size() const { return m_objects.size(); }
+    std::uint64_t revision() const { return m_revision; }
 
 private:
-    const std::map<std::string, StoredObject> &visible() const
+    using Objects = std::map<std::string, Json>;
+    static constexpr std::size_t MaxHistory = 4096;
+
+    const Objects &visible() const { return m_snapshot ? *m_snapshot : m_objects; }
+
+    std::uint64_t versionOf(Objects::const_iterator object) const
+    {
+        return object == m_objects.end()
+                       ? 0
+                       : object->second["metadata"]["revision"].get<std::uint64_t>();
+    }
+
+    Json newObject(const std::string &name) const
+    {
+        return {{"metadata",
+                 {{"name", name.substr(name.find('/') + 1)},
+                  {"revision", 0},
+                  {"createdAt", m_revision + 1},
+                  {"finalizers", Json::array()},
+                  {"deletionPending", false}}},
+                {"spec", nullptr},
+                {"status", nullptr}};
+    }
+
+    std::uint64_t store(const std::string &name, Json object)
+    {
+        object["metadata"]["revision"] = ++m_revision;
+        record({m_revision, name, object, false});
+        m_objects[name] = std::move(object);
+        return m_revision;
+    }
+
+    void erase(const std::string &name)
+    {
+        record({++m_revision, name, m_objects[name], true});
+        m_objects.erase(name);
+    }
+
+    void record(Event event)
     {
-        return m_snapshot ? *m_snapshot : m_objects;
+        m_history.push_back(std::move(event));
+        if (m_history.size() <= MaxHistory)
+            return;
+        m_historyStart = m_history.front().revision;
+        m_history.pop_front();
     }
 
-    std::map<std::string, StoredObject> m_objects;
-    std::optional<std::map<std::string, StoredObject>> m_snapshot;
-    std::uint64_t m_lastVersion = 0;
+    Objects m_objects;
+    std::optional<Objects> m_snapshot;
+    std::deque<Event> m_history;
+    std::uint64_t m_historyStart = 0; ///< events up to this revision are gone
+    std::uint64_t m_revision = 0;
 };
 
 } // namespace berylspur::standin
--- a/tools/berylspur_node.cpp
+++ b/tools/berylspur_node.cpp
@@ -30,7 +30,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     log::configure(settings.value().node().name(),
                    log::levelFromName(settings.value().log().level()));
-    Node node(settings.value());
+    Node node(settings.value(), file);
     if (const auto started = node.start(); !started) {
         std::fprintf(stderr, "%s\n", describe(started.error()).c_str());
         return ExitNotStarted;
