--- a/include/berylspur/config/config_task.h
+++ b/include/berylspur/config/config_task.h
@@ -3,8 +3,8 @@
 
 #include "berylspur/config/config_store.h"
 #include "berylspur/membership/membership_task.h"
-#include "platform/platform_client.h"
 #include "berylspur/transport/peer_pool.h"
+#include "platform/platform_client.h"
 
 #include <event2/event.h>
 #include <functional>
--- a/include/berylspur/http/caller_request.h
+++ b/include/berylspur/http/caller_request.h
@@ -54,6 +54,8 @@
 private:
     friend class CallerConnection;
 
+    Result<void> checkFraming() const;
+
     /// Messages of the connection.
     void connectionFlushed();
     void connectionClosed();
--- a/include/berylspur/membership/membership_task.h
+++ b/include/berylspur/membership/membership_task.h
@@ -4,9 +4,9 @@
 
 #include "berylspur/core/result.h"
 #include "berylspur/membership/member_table.h"
-#include "platform/platform_client.h"
 #include "berylspur/settings.pb.h"
 #include "berylspur/transport/peer_pool.h"
+#include "platform/platform_client.h"
 
 #include <event2/event.h>
 #include <memory>
--- a/include/berylspur/owner/announcement.h
+++ b/include/berylspur/owner/announcement.h
@@ -20,8 +20,8 @@
     EndpointReadiness readiness = EndpointReadiness::Ready;
     /// Time for which the endpoint expects to stay cold.
     Duration coldFor {};
-    /// Start of the endpoint, Unix milliseconds; tells incarnations of one id or address apart. 0: not
-    /// stated.
+    /// Start of the endpoint, Unix milliseconds; tells incarnations of one id or address apart. 0:
+    /// not stated.
     std::int64_t startedAtMs = 0;
     /// Rises with each announcement of one incarnation; 0: not stated.
     std::uint64_t sequence = 0;
--- a/include/berylspur/owner/gray_detector.h
+++ b/include/berylspur/owner/gray_detector.h
@@ -30,9 +30,10 @@
     bool admitsSuspect = true; ///< the owner leaves it to the gates to avoid a suspect
     bool ramp = true; ///< the share of requests grows step by step after the trial
 
-    /// For services with a few requests a second at each endpoint, where gray failures last seconds:
-    /// waiting for more evidence would cost more requests than a wrong ejection does. Health answers
-    /// say nothing about such failures, so real requests that may be repeated are the trial.
+    /// For services with a few requests a second at each endpoint, where gray failures last
+    /// seconds: waiting for more evidence would cost more requests than a wrong ejection does.
+    /// Health answers say nothing about such failures, so real requests that may be repeated are
+    /// the trial.
     static DetectorPolicy sparse();
 };
 
@@ -67,6 +68,7 @@
     DetectorPhase to = DetectorPhase::Trusted;
     std::string rule;
     std::vector<DetectorFigure> figures;
+    bool isForErrors = false; ///< requests failed; otherwise they were slow, or it is no ejection
 };
 
 /// Per-endpoint state machine. All judgement is relative to the baseline of the same service and
@@ -184,7 +186,7 @@
     static double slowRatio(const Judged &judged, double baselineUs);
     double slowness(const InFlight &request, TimePoint now) const;
     void suspect(const std::string &rule, std::uint32_t severity,
-                 std::vector<DetectorFigure> figures, TimePoint now);
+                 std::vector<DetectorFigure> figures, TimePoint now, bool isForErrors = false);
     void changeTo(DetectorPhase phase, const std::string &rule, std::vector<DetectorFigure> figures,
                   TimePoint now);
     void clearEvidence();
--- a/include/berylspur/record/record_task.h
+++ b/include/berylspur/record/record_task.h
@@ -1,8 +1,8 @@
 // Writes the batches of the decision log to the platform.
 #pragma once
 
-#include "platform/platform_client.h"
 #include "berylspur/record/decision_log.h"
+#include "platform/platform_client.h"
 
 #include <cstdint>
 #include <event2/event.h>
--- a/include/berylspur/routing/endpoint_picker.h
+++ b/include/berylspur/routing/endpoint_picker.h
@@ -48,8 +48,8 @@
     void ended(const std::string &endpoint);
     /// The owner's figures as they came with an answer.
     void reported(const std::string &endpoint, const ReportedLoad &load, TimePoint now);
-    /// The endpoint just failed a request or its owner suspects it; other gates may not know yet. It
-    /// is left out for ReportTerm while others can take the request.
+    /// The endpoint just failed a request or its owner suspects it; other gates may not know yet.
+    /// It is left out for ReportTerm while others can take the request.
     void failed(const std::string &endpoint, TimePoint now);
     /// Forgets endpoints that are not in \a known.
     void retain(const std::unordered_set<std::string> &known);
--- a/include/berylspur/routing/floor.h
+++ b/include/berylspur/routing/floor.h
@@ -9,8 +9,8 @@
 
 namespace berylspur {
 
-/// Slots that ejection must leave in rotation: floor-percent of the declared slots, rounded up. Where
-/// the service declares no endpoints, those of \a view that are ready count.
+/// Slots that ejection must leave in rotation: floor-percent of the declared slots, rounded up.
+/// Where the service declares no endpoints, those of \a view that are ready count.
 std::uint32_t floorSlots(const schema::Service &service, const std::vector<EndpointView> &view);
 
 } // namespace berylspur
--- a/include/berylspur/routing/retry_budget.h
+++ b/include/berylspur/routing/retry_budget.h
@@ -17,6 +17,8 @@
     explicit RetryBudget(std::uint32_t percent = 10);
 
     void request();
+    /// True if tryRetry() would succeed now.
+    bool canRetry() const;
     /// Takes one retry from the budget; false if it is spent.
     bool tryRetry();
     void setPercent(std::uint32_t percent);
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -155,7 +155,8 @@
         total += part.weight();
     if (total == 0)
         return config.service();
-    std::uint64_t drawn = std::uniform_int_distribution<std::uint64_t>(0, total - 1)(m_context.random);
+    std::uint64_t drawn =
+            std::uniform_int_distribution<std::uint64_t>(0, total - 1)(m_context.random);
     for (const auto &part : route.split()) {
         if (drawn < part.weight())
             return part.service();
@@ -377,8 +378,8 @@
     if (const auto *config = m_context.routes.service(m_service)) {
         const auto &times = m_context.views.current(*config).serviceTimes;
         const auto found = times.find({m_workClass, m_routeKey});
-        const auto time = found == times.end() ? Duration::zero()
-                                               : found->second.otherThan(m_endpoint, now);
+        const auto time =
+                found == times.end() ? Duration::zero() : found->second.otherThan(m_endpoint, now);
         dispatch.set_baseline_us(static_cast<std::uint32_t>(time.count()));
     }
     return dispatch.SerializeAsString();
@@ -423,8 +424,16 @@
         }
         return;
     }
-    // Errors are often fast and would lower the baseline of the other endpoints.
     constexpr std::uint32_t FirstServerError = 500;
+    if (reply.status() >= FirstServerError && mayRepeat(reply.load())) {
+        endAttempt();
+        m_exchange->cancel();
+        m_exchange.reset();
+        m_mayHaveRun = true;
+        retry(ErrorCode::EndpointFailed, true);
+        return;
+    }
+    // Errors are often fast and would lower the baseline of the other endpoints.
     const auto *config = m_context.routes.service(m_service);
     if (config && reply.status() < FirstServerError) {
         constexpr std::size_t MaxRoutes = 1024;
@@ -442,6 +451,18 @@
     m_caller->start(reply.status(), headers, length);
 }
 
+bool GateRequest::mayRepeat(const schema::OwnerLoad &load)
+{
+    // Where requests wait, a repeat would take the place of a first run.
+    if (load.free_slots() == 0 || load.queued() > 0)
+        return false;
+    // The repeat must have as much time as the first run took; otherwise the answer at hand is
+    // better.
+    const auto now = BootClock::now();
+    return m_idempotent && m_attempts + 1 < m_maxAttempts && m_placements < MaxPlacements
+           && m_deadline - now > now - m_arrived && m_context.budgets[m_service].canRetry();
+}
+
 void GateRequest::endAttempt()
 {
     if (std::exchange(m_countedByPicker, false))
@@ -493,8 +514,7 @@
         return;
     }
     // Only what reaches endpoints is a retry; a refusal by an owner costs the endpoints nothing.
-    if (reached
-        && (++m_attempts >= m_maxAttempts || !m_context.budgets[m_service].tryRetry())) {
+    if (reached && (++m_attempts >= m_maxAttempts || !m_context.budgets[m_service].tryRetry())) {
         finishNotRun(code);
         return;
     }
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -66,6 +66,9 @@
     void dispatchAnswered(const std::string &envelope);
     void dispatchEnded(ErrorCode code);
     void endAttempt();
+    /// True if an endpoint's error may be replaced by a run at another endpoint. \a load is that of
+    /// the endpoint, as a sample of its service.
+    bool mayRepeat(const schema::OwnerLoad &load);
     /// \a reached: the last attempt may have reached an endpoint.
     void retry(ErrorCode code, bool reached);
 
--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -61,9 +61,9 @@
 } // namespace
 
 CallerConnection::CallerConnection(CallerServer &server, evutil_socket_t fd)
-    : m_server(server),
-      m_events(bufferevent_socket_new(server.m_base, fd, BEV_OPT_CLOSE_ON_FREE)),
-      m_timer(server.m_base, [this] { timedOut(); }), m_nextRequest(server.m_base, [this] { read(); })
+    : m_server(server), m_events(bufferevent_socket_new(server.m_base, fd, BEV_OPT_CLOSE_ON_FREE)),
+      m_timer(server.m_base, [this] { timedOut(); }),
+      m_nextRequest(server.m_base, [this] { read(); })
 {
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -197,9 +197,9 @@
     m_timer.stop();
     m_state = State::Responding;
     auto &message = m_parser->get();
-    auto request = std::make_unique<CallerRequest>(
-            this, std::string(message.method_string()), std::string(message.target()), headersOf(),
-            std::move(message.body()), std::move(error));
+    auto request = std::make_unique<CallerRequest>(this, std::string(message.method_string()),
+                                                   std::string(message.target()), headersOf(),
+                                                   std::move(message.body()), std::move(error));
     m_request = request.get();
     m_parser.reset();
     m_server.m_handler(std::move(request));
@@ -246,8 +246,8 @@
         break;
     case Framing::Length:
         // Bytes beyond the stated length would be read as the next response.
-        bytes = bytes.substr(0, static_cast<std::size_t>(
-                                        std::min<std::uint64_t>(bytes.size(), m_unsentLength)));
+        bytes = bytes.substr(
+                0, static_cast<std::size_t>(std::min<std::uint64_t>(bytes.size(), m_unsentLength)));
         m_unsentLength -= bytes.size();
         send(bytes);
         break;
@@ -350,7 +350,10 @@
     bufferevent_disable(m_events, EV_READ | EV_WRITE);
     if (reset) {
         // A reset shows that the response is not complete, whatever its framing.
-        const struct linger hard {1, 0};
+        const struct linger hard
+        {
+            1, 0
+        };
         setsockopt(bufferevent_getfd(m_events), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
     }
     if (auto *request = std::exchange(m_request, nullptr))
--- a/src/http/caller_request.cpp
+++ b/src/http/caller_request.cpp
@@ -25,6 +25,12 @@
                        [](unsigned char c) { return c > 0x20 && c != 0x7f; });
 }
 
+/// A body of these would be ignored by some servers and read as the next request.
+bool hasNoBody(std::string_view method)
+{
+    return method == "GET" || method == "HEAD" || method == "TRACE" || method == "CONNECT";
+}
+
 } // namespace
 
 CallerRequest::CallerRequest(CallerConnection *connection, std::string method, std::string target,
@@ -56,6 +62,23 @@
     // RFC 9112, 3.2: a request with another number of Host headers is refused.
     if (hosts != 1 || header("Host").empty())
         return failure(ErrorCode::RequestMalformed, "not exactly one Host header");
+    return checkFraming();
+}
+
+Result<void> CallerRequest::checkFraming() const
+{
+    int lengths = 0;
+    bool statesBody = false;
+    for (const auto &[name, value] : m_headers) {
+        const bool isLength = equalsIgnoreCase(name, "Content-Length");
+        lengths += isLength ? 1 : 0;
+        statesBody = statesBody || (isLength && value != "0")
+                     || equalsIgnoreCase(name, "Transfer-Encoding");
+    }
+    if (lengths > 1)
+        return failure(ErrorCode::RequestAmbiguousFraming, "more than one body length");
+    if (statesBody && hasNoBody(m_method))
+        return failure(ErrorCode::RequestAmbiguousFraming, "body with a method that has none");
     return success();
 }
 
--- a/src/http/caller_server.cpp
+++ b/src/http/caller_server.cpp
@@ -27,11 +27,10 @@
 Result<void> CallerServer::listen(const Address &address)
 {
     const auto bound = address.toSockaddr();
-    m_listener = evconnlistener_new_bind(m_base, onAccept, this,
-                                         LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE
-                                                 | LEV_OPT_CLOSE_ON_EXEC,
-                                         ListenBacklog, reinterpret_cast<const sockaddr *>(&bound),
-                                         sizeof bound);
+    m_listener = evconnlistener_new_bind(
+            m_base, onAccept, this,
+            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE | LEV_OPT_CLOSE_ON_EXEC, ListenBacklog,
+            reinterpret_cast<const sockaddr *>(&bound), sizeof bound);
     if (!m_listener)
         return failure(ErrorCode::AddressUnusable, "caller address " + address.toString());
     return success();
--- a/src/membership/membership_bootstrap.cpp
+++ b/src/membership/membership_bootstrap.cpp
@@ -136,10 +136,11 @@
         m_platform.list(std::string(PeersPrefix), [this, alive](auto list) {
             if (alive.expired())
                 return;
-            const bool alone = list && std::all_of(list.value().begin(), list.value().end(),
-                                                   [this](const PlatformObject &object) {
-                                                       return object.name == objectName();
-                                                   });
+            const bool alone = list
+                               && std::all_of(list.value().begin(), list.value().end(),
+                                              [this](const PlatformObject &object) {
+                                                  return object.name == objectName();
+                                              });
             setJoined(alone);
         });
     });
@@ -182,8 +183,8 @@
         return;
     }
     m_publishRetry = std::clamp(2 * m_publishRetry, PlatformRetry, LongestPublishRetry);
-    log::warn("not-published", {{"reason", describe(result.error())},
-                                {"retry-ms", toMs(m_publishRetry)}});
+    log::warn("not-published",
+              {{"reason", describe(result.error())}, {"retry-ms", toMs(m_publishRetry)}});
     m_publishTimer.start(m_publishRetry + jitter(PlatformJitter));
 }
 
--- a/src/membership/membership_task_impl.h
+++ b/src/membership/membership_task_impl.h
@@ -122,10 +122,7 @@
     {
         return Duration(std::uniform_int_distribution<Duration::rep>(0, most.count())(m_random));
     }
-    std::string objectName() const
-    {
-        return std::string(PeersPrefix) + m_settings.node().name();
-    }
+    std::string objectName() const { return std::string(PeersPrefix) + m_settings.node().name(); }
     bool isOwnAddress(const std::string &address) const
     {
         return address == m_settings.addresses().peer()
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -11,7 +11,6 @@
 #include "berylspur/gate/gate_task.h"
 #include "berylspur/membership/membership_task.h"
 #include "berylspur/owner/owner_task.h"
-#include "platform/platform_client.h"
 #include "berylspur/record/decision_log.h"
 #include "berylspur/record/record_task.h"
 #include "berylspur/routing/floor.h"
@@ -22,6 +21,7 @@
 #include "platform/check_in_server.h"
 #include "platform/configuration.h"
 #include "platform/http_names.h"
+#include "platform/platform_client.h"
 
 #include <algorithm>
 #include <cmath>
@@ -165,7 +165,8 @@
     : m_settings(std::move(settings)), m_settingsFile(std::move(settingsFile)),
       m_base(event_base_new()), m_identity {m_settings.fleet(), m_settings.node().name(),
                                             m_incarnation},
-      m_names(isIntegrated() ? platform::httpNames() : HttpNames {}), m_decisions(m_settings.node().name(), m_incarnation),
+      m_names(isIntegrated() ? platform::httpNames() : HttpNames {}),
+      m_decisions(m_settings.node().name(), m_incarnation),
       m_platform(m_base, parsed(m_settings.platform())), m_peers(m_base, m_identity),
       m_membership(m_base, m_settings, m_incarnation, m_platform, m_peers),
       m_config(m_base, m_platform, m_peers, m_membership, foreignConfiguration()),
--- a/src/owner/announce_server.h
+++ b/src/owner/announce_server.h
@@ -11,7 +11,6 @@
 
 namespace berylspur {
 
-
 /// Reads the JSON body of POST /announce. Fails with RequestMalformed.
 Result<Announcement> parseAnnouncement(const std::string &json);
 
--- a/src/owner/endpoint_connection.cpp
+++ b/src/owner/endpoint_connection.cpp
@@ -176,8 +176,8 @@
     const auto echo = m_call->m_echoHeader.empty() ? message.end() : message.find(name);
     if (echo != message.end()
         && std::string_view(echo->value().data(), echo->value().size()) != m_call->m_echoValue) {
-        log::warn("response-of-another-request", {{"expected", m_call->m_echoValue},
-                                                  {"got", std::string(echo->value())}});
+        log::warn("response-of-another-request",
+                  {{"expected", m_call->m_echoValue}, {"got", std::string(echo->value())}});
         m_skipping = true;
         return true;
     }
--- a/src/owner/endpoint_connection.h
+++ b/src/owner/endpoint_connection.h
@@ -27,8 +27,8 @@
 
     /// True if the other side neither closed the idle connection nor sent anything on it.
     bool isQuiet() const;
-    /// True if a call may be sent on the idle connection; for \a fresh, only if the endpoint is sure
-    /// to keep it open.
+    /// True if a call may be sent on the idle connection; for \a fresh, only if the endpoint is
+    /// sure to keep it open.
     bool isUsable(bool fresh, TimePoint now) const;
 
 private:
--- a/src/owner/gray_detector.cpp
+++ b/src/owner/gray_detector.cpp
@@ -410,7 +410,7 @@
     }
     if (m_phase != DetectorPhase::Suspect && m_errors.sum >= bar(m_policy.errorThreshold)) {
         suspect("errors", 80, {{"evidence", m_errors.sum}, {"requests", double(m_errors.events)}},
-                now);
+                now, true);
     }
 }
 
@@ -418,7 +418,7 @@
 {
     if (outcome != WorkOutcome::Answered) {
         if (isFailure(outcome))
-            suspect("trial-failed", 70, {{"passed", double(m_trialPassed)}}, now);
+            suspect("trial-failed", 70, {{"passed", double(m_trialPassed)}}, now, true);
         return;
     }
     ++m_trialPassed;
@@ -545,7 +545,7 @@
 }
 
 void GrayDetector::suspect(const std::string &rule, std::uint32_t severity,
-                           std::vector<DetectorFigure> figures, TimePoint now)
+                           std::vector<DetectorFigure> figures, TimePoint now, bool isForErrors)
 {
     if (m_phase == DetectorPhase::Suspect)
         return;
@@ -555,6 +555,7 @@
     m_hasFlapped = true;
     m_severity = severity;
     changeTo(DetectorPhase::Suspect, rule, std::move(figures), now);
+    m_changes.back().isForErrors = isForErrors;
 }
 
 void GrayDetector::changeTo(DetectorPhase phase, const std::string &rule,
--- a/src/owner/owner_report.cpp
+++ b/src/owner/owner_report.cpp
@@ -32,7 +32,8 @@
 /// An endpoint on its way back is no suspect; gates send it a share of its requests only.
 void fillSuspicion(schema::EndpointRecord &record, const GrayDetector &detector)
 {
-    // The owner admits one request of a trial at a time; gates offer enough to have it decided soon.
+    // The owner admits one request of a trial at a time; gates offer enough to have it decided
+    // soon.
     constexpr std::uint32_t TrialPercent = 50;
     if (detector.phase() == DetectorPhase::Trusted)
         return;
@@ -46,8 +47,9 @@
 
 } // namespace
 
-void OwnerTask::Impl::recordChanges(OwnedEndpoint &endpoint)
+void OwnerTask::Impl::recordChanges(OwnedEndpoint &endpoint, TimePoint now)
 {
+    bool failsRequests = false;
     for (const auto &change : endpoint.detector.takeChanges()) {
         schema::DecisionRecord record;
         const bool ejected = change.to == DetectorPhase::Suspect;
@@ -62,7 +64,11 @@
                                      {"from", enumName(PhaseNames, change.from)},
                                      {"to", enumName(PhaseNames, change.to)},
                                      {"rule", change.rule}});
+        failsRequests = failsRequests || (ejected && change.isForErrors);
     }
+    // What waits here would follow the requests that just failed. A slow endpoint still serves it.
+    if (failsRequests && !m_detectorPolicy.admitsSuspect)
+        refuseQueued(endpoint, ErrorCode::NotRunEjected, now);
 }
 
 void OwnerTask::Impl::publish(TimePoint now)
--- a/src/owner/owner_task.cpp
+++ b/src/owner/owner_task.cpp
@@ -50,6 +50,7 @@
     SchedulerPolicy result;
     result.unlimitedQueue = policy.queue() == schema::QUEUE_UNLIMITED;
     result.firstCome = policy.classes() == schema::CLASS_FIRST_COME;
+    result.byPriority = policy.classes() == schema::CLASS_PRIORITY;
     return result;
 }
 
@@ -137,8 +138,8 @@
     if (restarted)
         endWork(*slot, BootClock::now());
     if (!slot || restarted || moved) {
-        slot = std::make_unique<OwnedEndpoint>(m_base, announcement, m_schedulerPolicy,
-                                               m_detection, m_detectorPolicy);
+        slot = std::make_unique<OwnedEndpoint>(m_base, announcement, m_schedulerPolicy, m_detection,
+                                               m_detectorPolicy);
         applyDrain(*slot);
         log::info("endpoint-announced", {{"endpoint", announcement.id},
                                          {"service", announcement.service},
@@ -359,6 +360,7 @@
     queued.customer = request.dispatch.customer();
     queued.route = request.dispatch.route();
     queued.deadline = request.deadline;
+    queued.priority = request.dispatch.priority();
     if (const auto refusal = endpoint.scheduler.enqueue(queued, now)) {
         refuse(*request.peer, request.dispatch, refusal->code, refusal->retryAfter, &endpoint);
         return;
@@ -535,6 +537,7 @@
     auto &request = endpoint.requests.at(id);
     const auto call = std::move(request.call); // outlives the callback that it is in
     endpoint.detector.finished(id, outcomeOf(end, request.kept.status), now);
+    recordChanges(endpoint, now);
     const bool complete = end == CallEnd::Complete;
     auto code = complete ? judge(request) : ErrorCode::EndpointFailed;
     if (end == CallEnd::ConnectFailed)
@@ -555,6 +558,7 @@
                       && request.kept.body.size() <= MaxKept;
     m_ledger.finish(id, keep ? std::optional(std::move(request.kept)) : std::nullopt, now);
     remove(endpoint, id, now);
+    publish(now); // gates should learn of an ejection at once
     pump(endpoint, now);
 }
 
@@ -711,7 +715,7 @@
 {
     cancelOverdue(endpoint, now);
     endpoint.detector.tick(now);
-    recordChanges(endpoint);
+    recordChanges(endpoint, now);
     pump(endpoint, now);
     probe(endpoint, now);
 }
--- a/src/owner/owner_task_impl.h
+++ b/src/owner/owner_task_impl.h
@@ -82,8 +82,7 @@
     void responseStarted(OwnedEndpoint &endpoint, const RequestId &id, std::uint32_t status,
                          const HeaderList &headers);
     /// Hands the head of the response to the gate. \a length is that of the body, if it is known.
-    void reply(OwnedEndpoint &endpoint, OwnedRequest &request,
-               std::optional<std::uint64_t> length);
+    void reply(OwnedEndpoint &endpoint, OwnedRequest &request, std::optional<std::uint64_t> length);
     void responseData(OwnedEndpoint &endpoint, const RequestId &id, std::string_view bytes);
     /// What a complete response says about the request: Ok for an answer to hand over.
     ErrorCode judge(const OwnedRequest &request) const;
@@ -108,7 +107,8 @@
     void cancelOverdue(OwnedEndpoint &endpoint, TimePoint now);
     std::string healthPath(const std::string &service) const;
     void probe(OwnedEndpoint &endpoint, TimePoint now);
-    void recordChanges(OwnedEndpoint &endpoint);
+    /// Reports changes of the detector's phase; an ejection also clears the queue.
+    void recordChanges(OwnedEndpoint &endpoint, TimePoint now);
     void publish(TimePoint now);
 
     OwnerTask &m_task;
--- a/src/routing/retry_budget.cpp
+++ b/src/routing/retry_budget.cpp
@@ -12,9 +12,14 @@
     m_saved = std::min(m_saved + m_percent, m_full);
 }
 
+bool RetryBudget::canRetry() const
+{
+    return m_percent > 0 && m_saved >= RetryCost;
+}
+
 bool RetryBudget::tryRetry()
 {
-    if (m_percent == 0 || m_saved < RetryCost)
+    if (!canRetry())
         return false;
     m_saved -= RetryCost;
     return true;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -136,3 +136,31 @@
     BOOST_TEST(store.all().size() == 3U);
     BOOST_TEST(store.bytes() > 0U);
 }
+
+// Guards against a change of one service that reaches nodes as a change of all, and against
+// services that stay after the configuration dropped them.
+BOOST_AUTO_TEST_CASE(difference_holds_what_a_whole_configuration_changes)
+{
+    const auto whole = [](std::uint64_t revision, const std::map<std::string, int> &slots) {
+        schema::ConfigDelta delta;
+        delta.set_revision(revision);
+        for (const auto &[name, count] : slots) {
+            auto &config = *delta.add_services();
+            config.set_service(name);
+            config.set_revision(revision);
+            config.mutable_content()->set_slots(static_cast<std::uint32_t>(count));
+        }
+        return delta;
+    };
+    ConfigStore store;
+    store.merge(store.difference(whole(3, {{"a", 1}, {"b", 1}, {"c", 1}})));
+    const auto delta = store.difference(whole(7, {{"a", 1}, {"b", 2}}));
+    BOOST_TEST(delta.services_size() == 2);
+    store.merge(delta);
+    BOOST_TEST(store.revision() == 7U);
+    BOOST_TEST(store.find("a")->revision() == 3U);
+    BOOST_TEST(store.find("b")->revision() == 7U);
+    BOOST_TEST(store.find("c")->deleted());
+    // A service that returns is a change although its old content was the same.
+    BOOST_TEST(store.difference(whole(8, {{"a", 1}, {"b", 2}, {"c", 1}})).services_size() == 1);
+}
--- /dev/null
+++ b/tests/http_caller_test.cpp
@@ -0,0 +1,263 @@
+// The caller side's HTTP layer against bytes as callers may send them.
+#define BOOST_TEST_MODULE http_caller
+#include "berylspur/http/caller_server.h"
+#include "loop.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <cerrno>
+#include <fcntl.h>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <ostream>
+
+using namespace berylspur;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+/// A caller's connection that sends and reads raw bytes.
+class RawCaller
+{
+public:
+    explicit RawCaller(const Address &server) : m_fd(socket(AF_INET, SOCK_STREAM, 0))
+    {
+        const auto address = server.toSockaddr();
+        connect(m_fd, reinterpret_cast<const sockaddr *>(&address), sizeof address);
+        fcntl(m_fd, F_SETFL, O_NONBLOCK);
+    }
+    ~RawCaller() { leave(); }
+    RawCaller(const RawCaller &) = delete;
+    RawCaller &operator=(const RawCaller &) = delete;
+
+    void send(const std::string &bytes) const { write(m_fd, bytes.data(), bytes.size()); }
+    void leave()
+    {
+        if (m_fd >= 0)
+            close(m_fd);
+        m_fd = -1;
+    }
+    /// Reads what has arrived. Returns false once the connection ended.
+    bool read()
+    {
+        char buffer[4096];
+        const auto got = recv(m_fd, buffer, sizeof buffer, 0);
+        if (got > 0)
+            received.append(buffer, static_cast<std::size_t>(got));
+        wasReset = wasReset || (got < 0 && errno == ECONNRESET);
+        ended = ended || got == 0 || wasReset;
+        return !ended;
+    }
+
+    std::string received;
+    bool ended = false;
+    bool wasReset = false;
+
+private:
+    int m_fd;
+};
+
+struct Fixture
+{
+    Fixture()
+        : server(loop.base, [this](std::unique_ptr<CallerRequest> request) {
+              requests.push_back(std::move(request));
+              if (answer)
+                  answer(*requests.back());
+          })
+    {
+        BOOST_REQUIRE(server.listen(address).has_value());
+        answer = [](CallerRequest &request) {
+            const auto checked = request.check();
+            const auto status = checked ? 200U : 400U;
+            const auto code = checked ? ErrorCode::Ok : checked.error().code;
+            if (!checked)
+                request.closeAfterResponse();
+            request.respond(status, {{"Code", std::string(errorName(code))}}, request.target());
+        };
+    }
+
+    bool waitFor(RawCaller &caller, const std::string &text) const
+    {
+        return loop.runUntil([&] {
+            caller.read();
+            return caller.received.find(text) != std::string::npos;
+        });
+    }
+
+    Loop loop;
+    Address address = freeAddress();
+    std::vector<std::unique_ptr<CallerRequest>> requests;
+    std::function<void(CallerRequest &)> answer;
+    CallerServer server;
+};
+
+struct InputCase
+{
+    const char *name;
+    std::string bytes;
+    ErrorCode code;
+};
+
+std::ostream &operator<<(std::ostream &out, const InputCase &input)
+{
+    return out << input.name;
+}
+
+const std::string Get = "GET /a HTTP/1.1\r\nHost: h\r\n";
+const std::string Post = "POST /a HTTP/1.1\r\nHost: h\r\n";
+
+const std::vector<InputCase> Inputs {
+        {"plain", Get + "\r\n", ErrorCode::Ok},
+        {"http 1.0", "GET /a HTTP/1.0\r\nHost: h\r\n\r\n", ErrorCode::Ok},
+        {"body with a length", Post + "Content-Length: 3\r\n\r\nabc", ErrorCode::Ok},
+        {"body in chunks", Post + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+         ErrorCode::Ok},
+        {"both lengths", Post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\nabc",
+         ErrorCode::RequestAmbiguousFraming},
+        {"two lengths", Post + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+         ErrorCode::RequestAmbiguousFraming},
+        {"two equal lengths", Post + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+         ErrorCode::RequestAmbiguousFraming},
+        {"body with GET", Get + "Content-Length: 3\r\n\r\nabc",
+         ErrorCode::RequestAmbiguousFraming},
+        {"length with letters", Post + "Content-Length: 3x\r\n\r\nabc",
+         ErrorCode::RequestAmbiguousFraming},
+        {"negative length", Post + "Content-Length: -1\r\n\r\n",
+         ErrorCode::RequestAmbiguousFraming},
+        {"bad chunk size", Post + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n",
+         ErrorCode::RequestAmbiguousFraming},
+        {"two hosts", Get + "Host: other\r\n\r\n", ErrorCode::RequestMalformed},
+        {"no host", "GET /a HTTP/1.1\r\n\r\n", ErrorCode::RequestMalformed},
+        {"folded line", Get + "X-A: b\r\n c\r\n\r\n", ErrorCode::RequestMalformed},
+        {"zero byte in a value", Get + std::string("X-A: b\0c\r\n\r\n", 12),
+         ErrorCode::RequestMalformed},
+        {"no HTTP", "hello\r\n\r\n", ErrorCode::RequestMalformed},
+        {"head over the limit", Get + "X-A: " + std::string(20000, 'a') + "\r\n\r\n",
+         ErrorCode::RequestHeadersTooLarge},
+        {"head without an end", Get + "X-A: " + std::string(20000, 'a'),
+         ErrorCode::RequestHeadersTooLarge},
+        {"body over the limit", Post + "Content-Length: 3000000\r\n\r\n",
+         ErrorCode::RequestBodyTooLarge},
+};
+
+} // namespace
+
+// Guards against malformed or ambiguous requests that reach an endpoint, and against proper ones
+// that are refused.
+BOOST_DATA_TEST_CASE_F(Fixture, input_is_judged, data::make(Inputs), input)
+{
+    RawCaller caller(address);
+    caller.send(input.bytes);
+    BOOST_TEST(waitFor(caller, "Code: " + std::string(errorName(input.code)) + "\r\n"),
+               caller.received);
+    BOOST_TEST(requests.size() == 1U);
+    if (input.code != ErrorCode::Ok)
+        BOOST_TEST(loop.runUntil([&] { return !caller.read(); }));
+}
+
+// Guards against responses that are mixed up when requests come faster than responses go.
+BOOST_FIXTURE_TEST_CASE(pipelined_requests_are_answered_in_order, Fixture)
+{
+    RawCaller caller(address);
+    caller.send("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+    BOOST_TEST(waitFor(caller, "/2"));
+    BOOST_TEST(caller.received.find("/1") < caller.received.find("/2"));
+}
+
+// Guards against a caller that holds a connection with half a head for as long as it likes.
+BOOST_FIXTURE_TEST_CASE(half_a_head_ends_in_time, Fixture)
+{
+    CallerLimits limits;
+    limits.headerTimeout = std::chrono::milliseconds(50);
+    server.setLimits(limits);
+    RawCaller caller(address);
+    caller.send("GET /a HTTP/1.1\r\nHo");
+    BOOST_TEST(waitFor(caller, "Code: RequestTimeout"));
+    BOOST_TEST(loop.runUntil([&] { return !caller.read(); }));
+}
+
+// Guards against kept connections that stay open without an end.
+BOOST_FIXTURE_TEST_CASE(idle_connection_is_closed, Fixture)
+{
+    CallerLimits limits;
+    limits.idleTimeout = std::chrono::milliseconds(50);
+    server.setLimits(limits);
+    RawCaller caller(address);
+    caller.send(Get + "\r\n");
+    BOOST_TEST(waitFor(caller, "/a"));
+    BOOST_TEST(loop.runUntil([&] { return !caller.read(); }));
+    BOOST_TEST(!caller.wasReset);
+    BOOST_TEST(loop.runUntil([&] { return server.connections() == 0; }));
+}
+
+// Guards against work that goes on for a caller that has left.
+BOOST_FIXTURE_TEST_CASE(leaving_caller_is_noticed, Fixture)
+{
+    answer = nullptr;
+    RawCaller caller(address);
+    caller.send(Get + "\r\n");
+    BOOST_REQUIRE(loop.runUntil([&] { return requests.size() == 1; }));
+    bool closed = false;
+    requests[0]->onClosed([&closed] { closed = true; });
+    caller.leave();
+    BOOST_TEST(loop.runUntil([&] { return closed; }));
+    requests[0]->respond(200, {}, "nobody reads this");
+}
+
+// Guards against a response that ends early and looks complete.
+BOOST_DATA_TEST_CASE_F(Fixture, aborted_response_is_not_complete,
+                       data::make({"HTTP/1.0", "HTTP/1.1"}) * data::make({false, true}), version,
+                       lengthIsKnown)
+{
+    answer = [lengthIsKnown](CallerRequest &request) {
+        request.start(200, {}, lengthIsKnown ? std::optional<std::uint64_t>(10) : std::nullopt);
+        request.write("abc", nullptr);
+    };
+    RawCaller caller(address);
+    caller.send("GET /a " + std::string(version) + "\r\nHost: h\r\n\r\n");
+    BOOST_TEST(waitFor(caller, "abc"));
+    requests[0]->abort();
+    BOOST_TEST(loop.runUntil([&] { return !caller.read(); }));
+    BOOST_TEST(caller.wasReset);
+}
+
+// Guards against a body longer than its stated length, which the caller would read as the next
+// response.
+BOOST_FIXTURE_TEST_CASE(body_does_not_exceed_its_length, Fixture)
+{
+    answer = [](CallerRequest &request) {
+        request.start(200, {}, 3);
+        request.write("abcdef", nullptr);
+        request.finish();
+    };
+    RawCaller caller(address);
+    caller.send(Get + "\r\n");
+    BOOST_TEST(waitFor(caller, "\r\n\r\nabc"));
+    BOOST_TEST(caller.received.ends_with("abc"));
+}
+
+// Guards against a body in a response to HEAD.
+BOOST_FIXTURE_TEST_CASE(head_has_no_body, Fixture)
+{
+    RawCaller caller(address);
+    caller.send("HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n" + Get + "\r\n");
+    BOOST_TEST(waitFor(caller, "\r\n\r\n/a"));
+    BOOST_TEST(caller.received.find("\r\n\r\nHTTP/1.1 200") != std::string::npos);
+    BOOST_TEST(caller.received.find("Content-Length: 2") != std::string::npos);
+}
+
+// Guards against kept connections that hold up a planned stop.
+BOOST_FIXTURE_TEST_CASE(closing_server_ends_connections_after_a_response, Fixture)
+{
+    RawCaller caller(address);
+    caller.send(Get + "\r\n");
+    BOOST_TEST(waitFor(caller, "/a"));
+    server.closeAfterResponses();
+    caller.received.clear();
+    caller.send(Get + "\r\n");
+    BOOST_TEST(waitFor(caller, "Connection: close"));
+    BOOST_TEST(loop.runUntil([&] { return !caller.read(); }));
+    BOOST_TEST(!caller.wasReset);
+}
--- a/tests/owner_detector_test.cpp
+++ b/tests/owner_detector_test.cpp
@@ -369,3 +369,78 @@
     endpoint.run(8s, [&](auto, double) { return Treatment {1, sample.outcome}; });
     BOOST_TEST(endpoint.detector.phase() == sample.expected);
 }
+
+namespace {
+
+/// Runs one request that ends after \a time.
+void runOne(GrayDetector &detector, Random &random, TimePoint &now, WorkOutcome outcome,
+            Duration time, const std::string &route = {})
+{
+    const auto id = RequestId::generate(random);
+    detector.started(id, WorkClass::Short, now, route);
+    now += time;
+    detector.finished(id, outcome, now);
+    detector.tick(now);
+}
+
+} // namespace
+
+// Guards against waiting for evidence that never comes: with a few requests a second and failures
+// that last seconds, each further failure loses a request that may run only once.
+BOOST_AUTO_TEST_CASE(sparse_policy_ejects_on_one_reset_and_returns_by_real_requests)
+{
+    using std::chrono::milliseconds;
+    Random random(7);
+    TimePoint now {};
+    GrayDetector detector(DetectionMode::Gray, DetectorPolicy::sparse());
+    for (int i = 0; i < 20; ++i)
+        runOne(detector, random, now, WorkOutcome::Answered, milliseconds(100));
+    runOne(detector, random, now, WorkOutcome::Reset, milliseconds(1));
+    BOOST_TEST((detector.phase() == DetectorPhase::Suspect));
+    BOOST_TEST(!detector.admits(true, 0));
+    BOOST_TEST(!detector.wantsProbe(now + std::chrono::seconds(5)));
+    now += milliseconds(1100);
+    detector.tick(now);
+    BOOST_TEST((detector.phase() == DetectorPhase::Trial));
+    BOOST_TEST(detector.admits(true, 0));
+    BOOST_TEST(!detector.admits(false, 0));
+    BOOST_TEST(!detector.admits(true, 1));
+    runOne(detector, random, now, WorkOutcome::Answered, milliseconds(100));
+    runOne(detector, random, now, WorkOutcome::Answered, milliseconds(100));
+    BOOST_TEST((detector.phase() == DetectorPhase::Trusted));
+    // One error of its own among many answers is the service's normal rate.
+    for (int i = 0; i < 20; ++i)
+        runOne(detector, random, now, WorkOutcome::Answered, milliseconds(100));
+    runOne(detector, random, now, WorkOutcome::ServerError, milliseconds(100));
+    BOOST_TEST((detector.phase() == DetectorPhase::Trusted));
+}
+
+// Guards against a floor that an owner breaks alone: what the floor holds in rotation is admitted.
+BOOST_AUTO_TEST_CASE(suspect_held_by_the_floor_is_admitted)
+{
+    Random random(7);
+    TimePoint now {};
+    GrayDetector detector(DetectionMode::Gray, DetectorPolicy::sparse());
+    runOne(detector, random, now, WorkOutcome::Reset, std::chrono::milliseconds(1));
+    BOOST_TEST(!detector.admits(false, 0));
+    detector.heldByFloor(true);
+    BOOST_TEST(detector.admits(false, 0));
+}
+
+// Guards against a route of fast requests that makes the requests of a slow one look stalled: the
+// baseline of the service was 1 ms while its slow route took 500 ms.
+BOOST_AUTO_TEST_CASE(routes_have_baselines_of_their_own)
+{
+    using std::chrono::milliseconds;
+    Random random(7);
+    TimePoint now {};
+    GrayDetector detector;
+    for (int i = 0; i < 200; ++i) {
+        for (int sample = 0; sample < 4; ++sample)
+            detector.baseline(WorkClass::Short, Duration(900 + 10 * i + sample), now, "fast");
+        detector.baseline(WorkClass::Short, milliseconds(490 + i % 7), now, "slow");
+        runOne(detector, random, now, WorkOutcome::Answered, milliseconds(1), "fast");
+        runOne(detector, random, now, WorkOutcome::Answered, milliseconds(500 + i % 9), "slow");
+        BOOST_REQUIRE((detector.phase() == DetectorPhase::Trusted));
+    }
+}
--- a/tests/owner_task_test.cpp
+++ b/tests/owner_task_test.cpp
@@ -237,3 +237,108 @@
     BOOST_TEST((codeOf(send(dispatch)) == ErrorCode::OutcomeUnknown));
     BOOST_TEST(owner.openRequests() == 0U);
 }
+
+namespace {
+
+/// An owner whose endpoints state their start and the sequence of their announcements.
+struct IntegratedFixture : Fixture
+{
+    IntegratedFixture() : integrated(loop.base, integratedSettings(), OwnerIncarnation, names())
+    {
+        BOOST_REQUIRE(integrated.start().has_value());
+        schema::ServiceConfig config;
+        config.set_service("cantar");
+        integrated.configure({&config});
+        integrated.endpointsChanged.connect(
+                [this](const std::vector<schema::EndpointRecord> &now) { published = now; });
+    }
+
+    schema::NodeSettings integratedSettings()
+    {
+        auto result = settings();
+        result.mutable_integration()->set_mode(schema::INTEGRATION_PLATFORM);
+        result.mutable_integration()->set_endpoint_lease_ms(20000);
+        return result;
+    }
+
+    static HttpNames names()
+    {
+        HttpNames result;
+        result.fromCaller = true;
+        return result;
+    }
+
+    Announcement said(const std::string &id, std::int64_t start, std::uint64_t sequence,
+                      EndpointReadiness readiness = EndpointReadiness::Ready) const
+    {
+        Announcement announcement;
+        announcement.id = id;
+        announcement.service = "cantar";
+        announcement.address = endpoint.address;
+        announcement.slots = 2;
+        announcement.readiness = readiness;
+        announcement.startedAtMs = start;
+        announcement.sequence = sequence;
+        return announcement;
+    }
+
+    /// "id:state" of what gates are told.
+    std::string view() const
+    {
+        std::string text;
+        for (const auto &record : published) {
+            text += record.id()
+                    + (record.state() == schema::ENDPOINT_DRAINING ? ":draining " : ":ready ");
+        }
+        return text;
+    }
+
+    OwnerTask integrated;
+    std::vector<schema::EndpointRecord> published;
+};
+
+} // namespace
+
+// Guards against an endpoint that returns to rotation by an announcement that was under way while
+// it began to leave, or while a newer incarnation took its place.
+BOOST_FIXTURE_TEST_CASE(late_announcements_change_nothing, IntegratedFixture)
+{
+    using enum EndpointReadiness;
+    BOOST_TEST(integrated.announce(said("i-1", 1000, 5)));
+    BOOST_TEST(view() == "i-1:ready ");
+    BOOST_TEST(integrated.announce(said("i-1", 1000, 7, Draining)));
+    BOOST_TEST(view() == "i-1:draining ");
+    BOOST_TEST(integrated.announce(said("i-1", 1000, 6)));
+    BOOST_TEST(view() == "i-1:draining ");
+    BOOST_TEST(integrated.announce(said("i-1", 1000, 8)));
+    BOOST_TEST(view() == "i-1:draining ");
+    BOOST_TEST(integrated.announce(said("i-2", 2000, 1)));
+    BOOST_TEST(view() == "i-2:ready ");
+    BOOST_TEST(integrated.announce(said("i-1", 1000, 9)));
+    BOOST_TEST(view() == "i-2:ready ");
+}
+
+// Guards against new work for an endpoint that withdrew without draining first, and against an old
+// withdrawal that ends the next incarnation under the same id.
+BOOST_FIXTURE_TEST_CASE(withdrawal_holds_for_its_incarnation, IntegratedFixture)
+{
+    BOOST_TEST(integrated.announce(said("i-1", 1000, 5)));
+    integrated.withdraw({"i-1", 1000});
+    BOOST_TEST(view() == "i-1:draining ");
+    BOOST_TEST(integrated.announce(said("i-1", 1000, 6)));
+    BOOST_TEST(view() == "i-1:draining ");
+    BOOST_TEST(integrated.announce(said("i-1", 3000, 1)));
+    BOOST_TEST(view() == "i-1:ready ");
+    integrated.withdraw({"i-1", 1000});
+    BOOST_TEST(view() == "i-1:ready ");
+}
+
+// Guards against an endpoint made of a well-formed announcement of a service that nobody
+// configured.
+BOOST_FIXTURE_TEST_CASE(announcement_of_an_unknown_service_is_refused, IntegratedFixture)
+{
+    auto foreign = said("i-9", 1000, 1);
+    foreign.service = "nobody";
+    BOOST_TEST(!integrated.announce(foreign));
+    BOOST_TEST(view().empty());
+}
--- /dev/null
+++ b/tests/platform_adapter_test.cpp
@@ -0,0 +1,180 @@
+// Decoding of what the platform's operator and endpoints write.
+#define BOOST_TEST_MODULE platform_adapter
+#include "berylspur/core/duration_text.h"
+#include "platform/check_in_server.h"
+#include "platform/configuration.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+#include <ostream>
+
+using namespace berylspur;
+using nlohmann::json;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+json configuration()
+{
+    return json::parse(R"({"version":"0000001c","baseVersion":"00000005","resources":[
+        {"typeUrl":"routes","metadata":{"name":"r-1"},"spec":{"host":"a.example","pathPrefix":"/p/",
+         "type":"non_idempotent","timeout":"5000ms","targetLatency":"1.5s","priority":1,
+         "service":"one","attempts":2}},
+        {"typeUrl":"routes","metadata":{"name":"r-2"},"spec":{"host":"b.example","pathPrefix":"/q/",
+         "type":"download","timeout":"8s","targetLatency":"1500ms","priority":2,
+         "weightedServices":[{"service":"two","weight":90},{"service":"one","weight":10}],
+         "attempts":3}},
+        {"typeUrl":"services","metadata":{"name":"one"},"spec":{"healthPath":"/healthz",
+         "maxConnections":360,"protocol":"h1","tlsEnabled":false}},
+        {"typeUrl":"services","metadata":{"name":"idle"},"spec":{"healthPath":"/h"}},
+        {"typeUrl":"later","metadata":{"name":"x"},"spec":{}},
+        {"typeUrl":"limits","metadata":{},"spec":{"headerBytes":16384,"maxBodyBytes":67108864,
+         "headerTimeout":"3000ms","idleTimeout":"15000ms"}}]})");
+}
+
+const schema::ServiceConfig *find(const schema::ConfigDelta &delta, const std::string &name)
+{
+    for (const auto &config : delta.services()) {
+        if (config.service() == name)
+            return &config;
+    }
+    return nullptr;
+}
+
+struct BadCheckIn
+{
+    const char *field;
+    json value; ///< null: the field is left out
+};
+
+std::ostream &operator<<(std::ostream &out, const BadCheckIn &bad)
+{
+    return out << bad.field << "=" << bad.value.dump();
+}
+
+json checkIn()
+{
+    return {{"service", "one"}, {"address", "10.0.0.1:80"}, {"zone", "z"},
+            {"version", "v1"},  {"slots", 4},               {"state", "ready"},
+            {"cold", "2.5s"},   {"sequence", 7},            {"born", 1700000000000}};
+}
+
+const std::vector<BadCheckIn> BadCheckIns {
+        {"service", nullptr},  {"service", 3},       {"service", ""},        {"address", nullptr},
+        {"address", "host:1"}, {"slots", "4"},       {"slots", 0},           {"slots", -1},
+        {"slots", 4.5},        {"state", "asleep"},  {"state", nullptr},     {"cold", 5},
+        {"cold", "5m"},        {"sequence", "7"},    {"sequence", nullptr},  {"born", "x"},
+        {"born", 1.5},
+};
+
+} // namespace
+
+// Guards against routes that reach another service or are repeated although they may run only once.
+BOOST_AUTO_TEST_CASE(configuration_is_decoded)
+{
+    const auto decoded = platform::decodeConfiguration(configuration().dump(), {20, 40});
+    BOOST_REQUIRE(decoded.has_value());
+    const auto &delta = decoded.value();
+    BOOST_TEST(delta.revision() == 0x1cU);
+    BOOST_REQUIRE(delta.services_size() == 3);
+    const auto *one = find(delta, "one");
+    BOOST_REQUIRE(one);
+    BOOST_TEST(one->revision() == 0x1cU);
+    BOOST_TEST(one->content().health_path() == "/healthz");
+    BOOST_TEST(one->content().retry_percent() == 20U);
+    BOOST_TEST(one->content().floor_percent() == 40U);
+    BOOST_TEST(one->content().endpoints() == 0U);
+    BOOST_TEST(one->caller_bounds().idle_timeout_ms() == 15000U);
+    BOOST_REQUIRE(one->content().routes_size() == 1);
+    const auto &route = one->content().routes(0);
+    BOOST_TEST(!route.idempotent());
+    BOOST_TEST(route.deadline_ms() == 5000U);
+    BOOST_TEST(route.target_latency_ms() == 1500U);
+    BOOST_TEST(route.attempts() == 2U);
+    BOOST_TEST(route.priority() == 1U);
+    const auto *two = find(delta, "two");
+    BOOST_REQUIRE(two);
+    const auto &split = two->content().routes(0);
+    BOOST_TEST(split.idempotent());
+    BOOST_TEST((split.request_class() == schema::CLASS_LONG));
+    BOOST_REQUIRE(split.split_size() == 2);
+    BOOST_TEST(split.split(1).service() == "one");
+    BOOST_TEST(split.split(1).weight() == 10U);
+    BOOST_TEST(find(delta, "idle") != nullptr);
+}
+
+// Guards against a configuration that is taken in part.
+BOOST_DATA_TEST_CASE(broken_configuration_is_refused,
+                     data::make({"", "[]", "{}", "{\"version\":\"0000001c\"}",
+                                 "{\"version\":\"xyz\",\"resources\":[]}",
+                                 "{\"version\":\"0000001c\",\"resources\":[{\"typeUrl\":\"routes\","
+                                 "\"metadata\":{},\"spec\":{}}]}"}),
+                     text)
+{
+    const auto decoded = platform::decodeConfiguration(text, {});
+    BOOST_REQUIRE(!decoded.has_value());
+    BOOST_TEST((decoded.error().code == ErrorCode::ManifestInvalid));
+}
+
+BOOST_AUTO_TEST_CASE(check_in_is_decoded)
+{
+    const auto parsed = platform::parseCheckIn("i-1", checkIn().dump());
+    BOOST_REQUIRE(parsed.has_value());
+    const auto &announcement = parsed.value();
+    BOOST_TEST(announcement.id == "i-1");
+    BOOST_TEST(announcement.service == "one");
+    BOOST_TEST(announcement.address.toString() == "10.0.0.1:80");
+    BOOST_TEST(announcement.slots == 4U);
+    BOOST_TEST((announcement.readiness == EndpointReadiness::Ready));
+    BOOST_TEST(announcement.coldFor.count() == 2500000);
+    BOOST_TEST(announcement.sequence == 7U);
+    BOOST_TEST(announcement.startedAtMs == 1700000000000);
+}
+
+// Guards against an endpoint made of a check-in that another writer sent.
+BOOST_DATA_TEST_CASE(broken_check_in_is_refused, data::make(BadCheckIns), bad)
+{
+    auto body = checkIn();
+    if (bad.value.is_null())
+        body.erase(bad.field);
+    else
+        body[bad.field] = bad.value;
+    BOOST_TEST(!platform::parseCheckIn("i-1", body.dump()).has_value());
+}
+
+BOOST_DATA_TEST_CASE(bytes_that_are_no_check_in_are_refused,
+                     data::make({"", "\xff\xfe", "[1]", "null", "{"}), text)
+{
+    BOOST_TEST(!platform::parseCheckIn("i-1", text).has_value());
+}
+
+// Guards against a last call that ends a newer incarnation.
+BOOST_AUTO_TEST_CASE(withdrawal_is_decoded)
+{
+    BOOST_TEST(platform::parseWithdrawal("i-1", "").value().startedAtMs == 0);
+    BOOST_TEST(platform::parseWithdrawal("i-1", "{\"born\":5}").value().startedAtMs == 5);
+    BOOST_TEST(!platform::parseWithdrawal("i-1", "{\"born\":\"x\"}").has_value());
+    BOOST_TEST(!platform::parseWithdrawal("", "").has_value());
+}
+
+struct DurationCase
+{
+    const char *text;
+    std::optional<std::int64_t> us;
+};
+
+BOOST_AUTO_TEST_CASE(durations)
+{
+    const std::vector<DurationCase> cases {
+            {"1500ms", 1500000}, {"2.5s", 2500000},     {"0ms", 0},      {"3s", 3000000},
+            {"", std::nullopt},  {"5", std::nullopt},   {"ms", std::nullopt},
+            {"-1s", std::nullopt}, {"1m", std::nullopt}, {"1 s", std::nullopt},
+    };
+    for (const auto &[text, us] : cases) {
+        const auto parsed = parseDuration(text);
+        BOOST_TEST(parsed.has_value() == us.has_value(), text);
+        if (parsed && us)
+            BOOST_TEST(parsed->count() == *us, text);
+    }
+}
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -72,7 +72,8 @@
     BOOST_TEST(seen->value().value == "two");
 }
 
-// Guards against a watch that is stuck once the store has dropped the history since the last change.
+// Guards against a watch that is stuck once the store has dropped the history since the last
+// change.
 BOOST_FIXTURE_TEST_CASE(watch_survives_a_dropped_history, PlatformFixture)
 {
     const auto first = write("config/head", "one").value();
--- a/tests/standin/platform_server.h
+++ b/tests/standin/platform_server.h
@@ -1,5 +1,5 @@
-// HTTP side of the platform stand-in: the published protocol of the object store, accounting of calls
-// and faults. Tests run it on their own event loop; berylspur-platform runs it as a process.
+// HTTP side of the platform stand-in: the published protocol of the object store, accounting of
+// calls and faults. Tests run it on their own event loop; berylspur-platform runs it as a process.
 //
 // Control, answered during faults too: POST /faults takes a JSON object with any of
 //   "outage": true or false         every call is answered with 503 and has no effect
@@ -7,12 +7,11 @@
 //   "delay-ms": N                   answers wait N ms; the call takes effect at once
 //   "lose-write-responses": N       the next N writes take effect and their connection is closed
 //   "drop-writes": N                the next N writes have no effect and their connection is closed
-//   "late-writes": N                the next N writes take effect "late-ms" later, without an answer
-//   "late-ms": N
-//   "too-many": N                   the next N calls are answered with 429 and have no effect
-//   "old-snapshot": true or false   reads, lists and watches see the state of now until false
-//   "compact": true                 the history is dropped and waiting watches are cut off
-//   "lose-data": true               all objects are gone
+//   "late-writes": N                the next N writes take effect "late-ms" later, without an
+//   answer "late-ms": N "too-many": N                   the next N calls are answered with 429 and
+//   have no effect "old-snapshot": true or false   reads, lists and watches see the state of now
+//   until false "compact": true                 the history is dropped and waiting watches are cut
+//   off "lose-data": true               all objects are gone
 // GET /accounting returns calls per kind, faults that happened, and the number of objects.
 #pragma once
 
@@ -196,7 +195,8 @@
         const auto last = rest.substr(slash + 1);
         constexpr std::string_view Status = "/status";
         if (last.ends_with(Status))
-            return statusCall(request, kind + "/" + decoded(last.substr(0, last.size() - Status.size())));
+            return statusCall(request,
+                              kind + "/" + decoded(last.substr(0, last.size() - Status.size())));
         objectCall(request, kind + "/" + decoded(last));
     }
 
@@ -232,8 +232,8 @@
             if (beforeRead)
                 beforeRead(name);
             const auto object = m_store.find(name);
-            return answer(request, object ? Reply {HTTP_OK, object->dump()}
-                                          : Reply {HTTP_NOTFOUND, {}});
+            return answer(request,
+                          object ? Reply {HTTP_OK, object->dump()} : Reply {HTTP_NOTFOUND, {}});
         }
         case EVHTTP_REQ_PUT: {
             const auto body = Json::parse(bodyOf(request), nullptr, false);
