Take back the queue by priority

Waiting ranks made calls of endpoints and rank 1 requests late without serving more. Nothing else depends on it.

--- a/include/berylspur/owner/slot_scheduler.h
+++ b/include/berylspur/owner/slot_scheduler.h
@@ -26,7 +26,6 @@
     std::string customer;
     std::string route; ///< key under which service times are learned
     TimePoint deadline;
-    std::uint32_t priority = 0; ///< 0: the most urgent
 };
 
 /// Variants kept runnable as baselines; the defaults are the product's.
@@ -34,10 +33,6 @@
 {
     bool unlimitedQueue = false; ///< baseline: no bound and no refusal by deadline
     bool firstCome = false; ///< baseline: one queue for all classes, no reserve
-    /// One queue for all classes, the most urgent first. For services that call each other: a call
-    /// holds a slot of its caller, so it goes before new work, and requests that are queued behind
-    /// it do not count against it.
-    bool byPriority = false;
     std::uint32_t shortQueuePerSlot = 2; ///< queued short requests per slot
     std::uint32_t longQueuePerSlot = 2; ///< queued long requests per slot
 };
@@ -123,7 +118,6 @@
     struct Customer
     {
         std::string name;
-        std::uint32_t priority = 0; ///< of all its requests, if the policy goes by priority
         Index head = None;
         Index tail = None;
         std::uint32_t size = 0;
@@ -146,12 +140,7 @@
     std::uint32_t running() const;
     /// Slots that \a workClass can have in use, given what the other class uses now.
     std::uint32_t slotsFor(WorkClass workClass) const;
-    bool isOneQueue() const { return m_policy.firstCome || m_policy.byPriority; }
-    /// Queued requests that start before one of \a priority.
-    std::uint32_t queuedBefore(const ClassQueue &queue, std::uint32_t priority) const;
-    Duration expectedWait(WorkClass workClass, std::uint32_t priority) const;
-    /// Time that the queued requests up to \a priority take, by the times of their routes.
-    double queuedUs(const ClassQueue &queue, std::uint32_t priority) const;
+    Duration expectedWait(WorkClass workClass) const;
     bool canStart(WorkClass workClass, TimePoint now) const;
     /// True if a waiting long request goes before short ones.
     bool longNeedsSlot(TimePoint now) const;
@@ -161,7 +150,7 @@
     bool isBeyondShare(const ClassQueue &queue, const std::string &customer,
                        std::uint32_t bound) const;
     std::optional<QueuedRequest> start(WorkClass workClass, TimePoint now);
-    Index popFront(ClassQueue &queue, TimePoint now);
+    Index popFront(ClassQueue &queue);
     template <typename Remove>
     void removeIf(ClassQueue &queue, const Remove &remove);
     void dropExpired(TimePoint now);
--- a/src/owner/owner_task.cpp
+++ b/src/owner/owner_task.cpp
@@ -50,7 +50,6 @@
     SchedulerPolicy result;
     result.unlimitedQueue = policy.queue() == schema::QUEUE_UNLIMITED;
     result.firstCome = policy.classes() == schema::CLASS_FIRST_COME;
-    result.byPriority = policy.classes() == schema::CLASS_PRIORITY;
     return result;
 }
 
@@ -360,7 +359,6 @@
     queued.customer = request.dispatch.customer();
     queued.route = request.dispatch.route();
     queued.deadline = request.deadline;
-    queued.priority = request.dispatch.priority();
     if (const auto refusal = endpoint.scheduler.enqueue(queued, now)) {
         refuse(*request.peer, request.dispatch, refusal->code, refusal->retryAfter, &endpoint);
         return;
--- a/src/owner/slot_scheduler.cpp
+++ b/src/owner/slot_scheduler.cpp
@@ -35,9 +35,6 @@
 /// Wait after which long requests are due, while no service time of theirs is known.
 constexpr Duration UnknownPatience = std::chrono::seconds(1);
 
-/// A waiting request gains one rank of priority for each such time, so that none waits for ever.
-constexpr Duration RankTerm = std::chrono::milliseconds(300);
-
 void average(double &mean, double sample)
 {
     mean = mean == 0 ? sample : mean + MeanWeight * (sample - mean);
@@ -61,15 +58,14 @@
     Route *route = routeOf(request);
     const WorkClass workClass = classInForce(request, route);
     ClassQueue &queue = queueOf(workClass);
-    const Duration wait = expectedWait(workClass, request.priority);
+    const Duration wait = expectedWait(workClass);
     if (request.deadline <= now)
         return Refusal {ErrorCode::NotRunDeadline, LeastRetryAfter};
     if (!m_policy.unlimitedQueue) {
         const std::uint32_t bound = queueBound(workClass);
         const Duration retryAfter =
                 queue.meanUs == 0 ? UnknownRetryAfter : std::max(wait, LeastRetryAfter);
-        if (queuedBefore(queue, request.priority) >= bound
-            || isBeyondShare(queue, request.customer, bound))
+        if (queue.size >= bound || isBeyondShare(queue, request.customer, bound))
             return Refusal {ErrorCode::NotRunQueueFull, retryAfter};
         // A request that can start at once is never refused by expectation: the learned times may
         // come from a stall that has ended.
@@ -84,15 +80,12 @@
     node.route = route;
     node.enqueued = now;
     node.next = None;
-    // One queue ignores customers: all of one priority share one entry of the round.
-    const std::string_view name = isOneQueue() ? std::string_view() : request.customer;
-    const std::uint32_t priority = m_policy.byPriority ? request.priority : 0;
+    // First come, first served ignores customers: all share one entry of the round.
+    const std::string_view name = m_policy.firstCome ? std::string_view() : request.customer;
     auto customer = std::find_if(queue.customers.begin(), queue.customers.end(),
-                                 [&](const Customer &entry) {
-                                     return entry.name == name && entry.priority == priority;
-                                 });
+                                 [&](const Customer &entry) { return entry.name == name; });
     if (customer == queue.customers.end()) {
-        queue.customers.push_back({std::string(name), priority, index, index, 1});
+        queue.customers.push_back({std::string(name), index, index, 1});
     } else {
         m_nodes[customer->tail].next = index;
         customer->tail = index;
@@ -160,7 +153,7 @@
     std::vector<QueuedRequest> taken;
     for (ClassQueue *queue : {&m_short, &m_long}) {
         while (queue->size > 0) {
-            const Index index = popFront(*queue, TimePoint::min());
+            const Index index = popFront(*queue);
             taken.push_back(m_nodes[index].request);
             release(index);
         }
@@ -193,7 +186,7 @@
 
 std::uint32_t SlotScheduler::longSlotLimit() const
 {
-    if (isOneQueue())
+    if (m_policy.firstCome)
         return m_slots;
     const std::uint32_t reserve = std::max<std::uint32_t>(1, m_slots / 4);
     // With a single slot there is nothing to reserve: long requests must progress there too.
@@ -202,12 +195,12 @@
 
 SlotScheduler::ClassQueue &SlotScheduler::queueOf(WorkClass workClass)
 {
-    return isOneQueue() || workClass == WorkClass::Short ? m_short : m_long;
+    return m_policy.firstCome || workClass == WorkClass::Short ? m_short : m_long;
 }
 
 const SlotScheduler::ClassQueue &SlotScheduler::queueOf(WorkClass workClass) const
 {
-    return isOneQueue() || workClass == WorkClass::Short ? m_short : m_long;
+    return m_policy.firstCome || workClass == WorkClass::Short ? m_short : m_long;
 }
 
 SlotScheduler::Route *SlotScheduler::routeOf(const QueuedRequest &request)
@@ -237,8 +230,6 @@
 
 std::uint32_t SlotScheduler::queueBound(WorkClass workClass) const
 {
-    if (m_policy.byPriority)
-        return m_slots * m_policy.shortQueuePerSlot;
     if (m_policy.firstCome)
         return m_slots * (m_policy.shortQueuePerSlot + m_policy.longQueuePerSlot);
     return m_slots
@@ -253,43 +244,17 @@
 
 std::uint32_t SlotScheduler::slotsFor(WorkClass workClass) const
 {
-    if (isOneQueue())
+    if (m_policy.firstCome)
         return m_slots;
     if (workClass == WorkClass::Long)
         return longSlotLimit();
     return m_slots - std::min(m_slots, m_long.running);
 }
 
-std::uint32_t SlotScheduler::queuedBefore(const ClassQueue &queue, std::uint32_t priority) const
-{
-    if (!m_policy.byPriority)
-        return queue.size;
-    std::uint32_t count = 0;
-    for (const Customer &customer : queue.customers)
-        count += customer.priority <= priority ? customer.size : 0;
-    return count;
-}
-
-double SlotScheduler::queuedUs(const ClassQueue &queue, std::uint32_t priority) const
-{
-    double sum = 0;
-    for (const Customer &customer : queue.customers) {
-        if (customer.priority > priority)
-            continue;
-        for (Index index = customer.head; index != None; index = m_nodes[index].next) {
-            const Route *route = m_nodes[index].route;
-            sum += route && route->meanUs > 0 ? route->meanUs : queue.meanUs;
-        }
-    }
-    return sum;
-}
-
-Duration SlotScheduler::expectedWait(WorkClass workClass, std::uint32_t priority) const
+Duration SlotScheduler::expectedWait(WorkClass workClass) const
 {
     const ClassQueue &queue = queueOf(workClass);
     const std::uint32_t slots = std::max<std::uint32_t>(1, slotsFor(workClass));
-    if (m_policy.byPriority)
-        return fromUs(queuedUs(queue, priority) / slots);
     return fromUs(queue.size * queue.meanUs / slots);
 }
 
@@ -298,7 +263,7 @@
     const std::uint32_t busy = running();
     if (busy >= m_slots)
         return false;
-    if (isOneQueue())
+    if (m_policy.firstCome)
         return true;
     const bool isLastFree = busy + 1 == m_slots;
     if (workClass == WorkClass::Short)
@@ -316,7 +281,7 @@
 
 bool SlotScheduler::longNeedsSlot(TimePoint now) const
 {
-    if (isOneQueue())
+    if (m_policy.firstCome)
         return false;
     // On a single slot the classes take turns, or short requests would never run.
     if (m_slots == 1)
@@ -346,7 +311,7 @@
 bool SlotScheduler::isBeyondShare(const ClassQueue &queue, const std::string &customer,
                                   std::uint32_t bound) const
 {
-    if (isOneQueue() || bound < ReservedPart || queue.size < bound - bound / ReservedPart)
+    if (m_policy.firstCome || bound < ReservedPart || queue.size < bound - bound / ReservedPart)
         return false;
     const auto found = std::find_if(queue.customers.begin(), queue.customers.end(),
                                     [&](const Customer &entry) { return entry.name == customer; });
@@ -359,7 +324,7 @@
 std::optional<QueuedRequest> SlotScheduler::start(WorkClass workClass, TimePoint now)
 {
     ClassQueue &queue = queueOf(workClass);
-    const Index index = popFront(queue, now);
+    const Index index = popFront(queue);
     ++queue.running;
     m_lastStarted = workClass;
     if (workClass == WorkClass::Short)
@@ -369,17 +334,10 @@
     return m_nodes[index].request;
 }
 
-SlotScheduler::Index SlotScheduler::popFront(ClassQueue &queue, TimePoint now)
+SlotScheduler::Index SlotScheduler::popFront(ClassQueue &queue)
 {
-    const auto rank = [&](const Customer &customer) {
-        const auto waited = now - m_nodes[customer.head].enqueued;
-        return static_cast<std::int64_t>(customer.priority) - waited / RankTerm;
-    };
-    const auto next = std::min_element(
-            queue.customers.begin(), queue.customers.end(),
-            [&rank](const Customer &a, const Customer &b) { return rank(a) < rank(b); });
-    Customer customer = std::move(*next);
-    queue.customers.erase(next);
+    Customer customer = std::move(queue.customers.front());
+    queue.customers.pop_front();
     const Index index = customer.head;
     customer.head = m_nodes[index].next;
     --customer.size;
--- a/tests/schema_generator.h
+++ b/tests/schema_generator.h
@@ -90,7 +90,6 @@
             {"QUEUE_UNLIMITED", "unlimited"},
             {"CLASS_RESERVE", "reserve"},
             {"CLASS_FIRST_COME", "first-come"},
-            {"CLASS_PRIORITY", "priority"},
             {"PICK_OWNER_LOAD", "owner-load"},
             {"PICK_TWO_RANDOM", "two-random"},
             {"CLASS_SHORT", "short"},
