Split announcements out of the owner task

Ruled out: a new class; the functions share the owner's state.

Change: the functions from applyDrain() to withdrawn() move unchanged to owner_announcements.cpp.

--- /dev/null
+++ b/src/owner/owner_announcements.cpp
@@ -0,0 +1,184 @@
+// What the owner takes from announcements and withdrawals: which endpoints exist, their
+// incarnations, and when they begin to drain.
+#include "berylspur/core/log.h"
+#include "owner_task_impl.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace berylspur {
+
+namespace {
+
+constexpr Duration ColdGrace = std::chrono::seconds(5);
+
+} // namespace
+
+void OwnerTask::Impl::applyDrain(OwnedEndpoint &endpoint)
+{
+    const auto found = m_services.find(endpoint.info.service);
+    bool drained = false;
+    if (found != m_services.end()) {
+        const auto &list = found->second.config.content().drain();
+        drained = std::any_of(list.begin(), list.end(), [&](const std::string &name) {
+            return name == endpoint.info.id || name == m_node;
+        });
+    }
+    if (drained == endpoint.drainedByManifest)
+        return;
+    endpoint.drainedByManifest = drained;
+    schema::DecisionRecord record;
+    record.set_kind(schema::DECISION_DRAIN);
+    record.set_service(endpoint.info.service);
+    record.set_endpoint(endpoint.info.id);
+    record.set_rule(drained ? "drained by the manifest" : "drain ended by the manifest");
+    m_task.decided.emit(record);
+}
+
+OwnedEndpoint &OwnerTask::Impl::endpointFor(const Announcement &announcement)
+{
+    auto &slot = m_endpoints[announcement.id];
+    const bool restarted = slot && slot->info.startedAtMs != announcement.startedAtMs;
+    const bool moved = slot && slot->info.address != announcement.address && slot->requests.empty();
+    if (restarted)
+        endWork(*slot, BootClock::now());
+    if (!slot || restarted || moved) {
+        slot = std::make_unique<OwnedEndpoint>(m_base, announcement, m_schedulerPolicy, m_detection,
+                                               m_detectorPolicy);
+        applyDrain(*slot);
+        log::info("endpoint-announced", {{"endpoint", announcement.id},
+                                         {"service", announcement.service},
+                                         {"address", announcement.address.toString()}});
+    }
+    return *slot;
+}
+
+bool OwnerTask::Impl::isOutdated(const Announcement &announcement) const
+{
+    return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto &item) {
+        const auto &known = item.second->info;
+        if (item.first != announcement.id)
+            return known.address == announcement.address
+                   && known.startedAtMs > announcement.startedAtMs;
+        if (known.startedAtMs != announcement.startedAtMs)
+            return known.startedAtMs > announcement.startedAtMs;
+        return announcement.sequence != 0 && announcement.sequence <= known.sequence;
+    });
+}
+
+void OwnerTask::Impl::removePredecessors(const Announcement &announcement)
+{
+    const auto now = BootClock::now();
+    std::erase_if(m_endpoints, [&](const auto &item) {
+        auto &endpoint = *item.second;
+        if (item.first == announcement.id || endpoint.info.address != announcement.address
+            || announcement.startedAtMs == 0)
+            return false;
+        // Its work in flight ends with its connections; after that nothing is left of it.
+        endpoint.withdrawn = true;
+        refuseQueued(endpoint, ErrorCode::NotRunDraining, now);
+        return endpoint.requests.empty();
+    });
+}
+
+void OwnerTask::Impl::beginDrain(OwnedEndpoint &endpoint, const std::string &rule)
+{
+    schema::DecisionRecord record;
+    record.set_kind(schema::DECISION_DRAIN);
+    record.set_service(endpoint.info.service);
+    record.set_endpoint(endpoint.info.id);
+    record.set_rule(rule);
+    m_task.decided.emit(record);
+    log::info("endpoint-drains", {{"endpoint", endpoint.info.id},
+                                  {"service", endpoint.info.service},
+                                  {"rule", rule},
+                                  {"sequence", endpoint.info.sequence}});
+    refuseQueued(endpoint, ErrorCode::NotRunDraining, BootClock::now());
+}
+
+void OwnerTask::Impl::refuseQueued(OwnedEndpoint &endpoint, ErrorCode code, TimePoint now)
+{
+    for (const auto &queued : endpoint.scheduler.takeQueued()) {
+        const auto found = endpoint.requests.find(queued.id);
+        if (found == endpoint.requests.end())
+            continue;
+        m_ledger.revoke(queued.id, now);
+        if (!found->second.gateGone)
+            refuse(*found->second.peer, found->second.dispatch, code, {}, &endpoint);
+        remove(endpoint, queued.id, now);
+    }
+}
+
+void OwnerTask::Impl::endWork(OwnedEndpoint &endpoint, TimePoint now)
+{
+    refuseQueued(endpoint, ErrorCode::NotRunDraining, now);
+    std::vector<RequestId> running;
+    for (const auto &[id, request] : endpoint.requests)
+        running.push_back(id);
+    for (const auto &id : running) {
+        auto &request = endpoint.requests.at(id);
+        if (!request.gateGone)
+            fail(request, ErrorCode::EndpointFailed, endpoint);
+        cancelRunning(endpoint, id, WorkOutcome::Reset, now);
+    }
+}
+
+bool OwnerTask::Impl::announced(const Announcement &announcement)
+{
+    const auto now = BootClock::now();
+    noticePause(now);
+    if (!m_listens && !m_services.empty() && !m_services.contains(announcement.service)) {
+        log::warn("announcement-of-unknown-service",
+                  {{"endpoint", announcement.id}, {"service", announcement.service}});
+        return false;
+    }
+    if (isOutdated(announcement)) {
+        log::info("announcement-outdated", {{"endpoint", announcement.id},
+                                            {"started-at-ms", announcement.startedAtMs},
+                                            {"sequence", announcement.sequence}});
+        return true;
+    }
+    removePredecessors(announcement);
+    auto &endpoint = endpointFor(announcement);
+    const bool wasDraining = endpoint.info.readiness == EndpointReadiness::Draining;
+    // An incarnation that states its start never becomes ready again after it began to drain.
+    const bool mayReturn = announcement.startedAtMs == 0 || !wasDraining;
+    endpoint.info.sequence = announcement.sequence;
+    if (mayReturn)
+        endpoint.info.readiness = announcement.readiness;
+    if (!wasDraining && endpoint.info.readiness == EndpointReadiness::Draining)
+        beginDrain(endpoint, "announced by the endpoint");
+    if (endpoint.info.slots != announcement.slots) {
+        endpoint.info.slots = announcement.slots;
+        endpoint.scheduler.setSlots(announcement.slots);
+    }
+    if (announcement.readiness == EndpointReadiness::Cold)
+        endpoint.detector.coldUntil(now + ColdGrace);
+    else if (announcement.coldFor > Duration::zero())
+        endpoint.detector.coldUntil(now + announcement.coldFor);
+    endpoint.lease.renew(now, m_leaseTerm);
+    m_lastAnnounced[announcement.id] = now;
+    publish(now);
+    return true;
+}
+
+void OwnerTask::Impl::withdrawn(const Withdrawal &withdrawal)
+{
+    const auto found = m_endpoints.find(withdrawal.id);
+    if (found == m_endpoints.end()) {
+        log::info("withdrawal-of-unknown-endpoint", {{"endpoint", withdrawal.id}});
+        return;
+    }
+    auto &endpoint = *found->second;
+    if (withdrawal.startedAtMs != 0 && withdrawal.startedAtMs < endpoint.info.startedAtMs) {
+        log::info("withdrawal-outdated", {{"endpoint", withdrawal.id}});
+        return;
+    }
+    if (std::exchange(endpoint.withdrawn, true))
+        return;
+    beginDrain(endpoint, "withdrawn by the endpoint");
+    publish(BootClock::now());
+}
+
+} // namespace berylspur
--- a/src/owner/owner_task_impl.h
+++ b/src/owner/owner_task_impl.h
@@ -1,5 +1,5 @@
 // State of the owner task and the functions of its parts: admission and calls (owner_task.cpp),
-// publication and reports (owner_report.cpp).
+// announcements (owner_announcements.cpp), publication and reports (owner_report.cpp).
 #pragma once
 
 #include "berylspur/core/metrics.h"
