Bound the log, and read the way of a request from logs

Cause: log4cxx' console appender writes each line with a blocking call. A reader that stops would have stopped the node, a storm of refusals would have cost a system call each, and the gate and the owner logged different ids, so that the lines of a request met by time only.

Ruled out: the library's AsyncAppender (a thread per node that shares one core) and a non-blocking standard output (its mode is shared with other processes).

Change: lines go through a bounded buffer that is written where poll() says that a pipe takes them, every 50 ms. Kinds of lines are limited to 50 a second after a burst of 100, with a count of those left out; lines that name the cause of a failed request are not. berylspurctl explain ID reads the logs of any number of nodes.

--- a/include/berylspur/core/log.h
+++ b/include/berylspur/core/log.h
@@ -1,6 +1,10 @@
-// Structured logging through log4cxx: one line per event, "event key=value key=value".
+// Structured logging through log4cxx: one line per event, "event key=value key=value". Lines go to
+// standard output without ever waiting for its reader; see log_buffer.h for the bounds.
 #pragma once
 
+#include "berylspur/core/log_buffer.h"
+
+#include <event2/event.h>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -31,15 +35,26 @@
 /// Sends all log lines to standard output; \a node is part of each line. Called once at start.
 void configure(std::string_view node, Level level);
 
+/// Collects lines and writes them together from \a base, a moment later. Without a loop each line
+/// is written at once.
+void attach(event_base *base);
+
+/// Ends the work on the loop of attach() and writes what is left, for at most a second.
+void detach();
+
 /// Lowest level that is written from now on.
 void setLevel(Level level);
 
 /// Level with the name \a name ("info"); Level::Info if there is none.
 Level levelFromName(std::string_view name);
 
-/// Writes one line if \a level is enabled.
+/// Writes one line if \a level is enabled. Routine lines of one \a name and first field are limited
+/// in rate; warnings and errors are causes.
 void event(Level level, std::string_view name, std::initializer_list<Field> fields = {});
 
+/// Writes a line that names the cause of a failed request. It is not limited in rate.
+void cause(std::string_view name, std::initializer_list<Field> fields);
+
 inline void debug(std::string_view name, std::initializer_list<Field> fields = {})
 {
     event(Level::Debug, name, fields);
--- a/include/berylspur/ctl/report.h
+++ b/include/berylspur/ctl/report.h
@@ -4,6 +4,7 @@
 #include "berylspur/core/error_code.h"
 #include "berylspur/core/result.h"
 #include "berylspur/ctl/explain.h"
+#include "berylspur/ctl/log_trail.h"
 #include "berylspur/ctl/manifest_writer.h"
 #include "berylspur/ctl/node_state.h"
 
@@ -64,6 +65,8 @@
 /// What is in force on each node, compared with \a head. CommandNotInForce if a node is behind,
 /// CommandNodeUnreachable if one did not answer.
 Report reportNodes(const std::vector<NodeState> &nodes, const schema::ManifestHead &head);
+/// The way of a request through logs. CommandNoRecord if no line names it.
+Report reportTrail(const LogTrail &trail);
 /// CommandNoRecord if nothing matched.
 Report reportExplanation(const Explanation &explanation);
 
--- a/src/ctl/explain.cpp
+++ b/src/ctl/explain.cpp
@@ -1,7 +1,7 @@
 // Search and text form of decision records.
 #include "berylspur/ctl/explain.h"
 
-#include "berylspur/core/enum_table.h"
+#include "berylspur/record/decision_event.h"
 #include "berylspur/record/record_task.h"
 
 #include <algorithm>
@@ -20,17 +20,6 @@
 constexpr std::int64_t MsPerSecond = 1000;
 constexpr std::int64_t MsPerMinute = 60 * MsPerSecond;
 
-constexpr EnumTable<schema::DecisionKind, 8> KindNames {{
-        {schema::DECISION_EJECT, "eject"},
-        {schema::DECISION_RETURN, "return"},
-        {schema::DECISION_SHED, "shed"},
-        {schema::DECISION_RETRY, "retry"},
-        {schema::DECISION_REFUSE, "refuse"},
-        {schema::DECISION_CONFIG, "config"},
-        {schema::DECISION_DRAIN, "drain"},
-        {schema::DECISION_MEMBER, "member"},
-}};
-
 bool matches(const schema::DecisionRecord &record, const ExplainQuery &query)
 {
     return record.time_ms() >= query.fromMs && record.time_ms() <= query.toMs
@@ -120,7 +109,7 @@
 {
     std::ostringstream text;
     text << timeText(record.time_ms()) << " " << record.node() << " "
-         << enumName(KindNames, record.kind());
+         << enumName(DecisionNames, record.kind());
     const auto add = [&text](const char *key, const std::string &value) {
         if (!value.empty())
             text << " " << key << "=" << value;
--- a/src/ctl/report.cpp
+++ b/src/ctl/report.cpp
@@ -200,6 +200,35 @@
     return report;
 }
 
+Report reportTrail(const LogTrail &trail)
+{
+    Report report;
+    auto list = Json::array();
+    for (const auto &line : trail.inOrder()) {
+        report.text += describe(line) + "\n";
+        Json fields = Json::object();
+        for (const auto &[key, value] : line.fields)
+            fields[key] = value;
+        list.push_back({{"time", timeText(line.timeMs)},
+                        {"node", line.node},
+                        {"event", line.event},
+                        {"fields", fields}});
+    }
+    if (list.empty()) {
+        report.code = ErrorCode::CommandNoRecord;
+        report.text = describe(Error {report.code, {}}) + "\n";
+    }
+    for (const auto &node : trail.steppedClocks())
+        report.text += "the clock of " + node + " was set back between these lines\n";
+    const Json json = {{"ok", report.code == ErrorCode::Ok},
+                       {"code", static_cast<std::uint32_t>(report.code)},
+                       {"lines", list},
+                       {"lines-read", trail.linesRead()},
+                       {"stepped-clocks", trail.steppedClocks()}};
+    report.json = json.dump(2) + "\n";
+    return report;
+}
+
 Report reportExplanation(const Explanation &explanation)
 {
     Report report;
--- a/tools/berylspurctl.cpp
+++ b/tools/berylspurctl.cpp
@@ -12,6 +12,8 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <fstream>
+#include <iostream>
 #include <memory>
 
 using namespace berylspur;
@@ -37,6 +39,8 @@
     std::string endpoint;
     std::string at;
     std::string request;
+    std::string loggedRequest;
+    std::vector<std::string> logs;
     std::int64_t withinS = 60;
     std::int64_t lagS = 120;
     std::int64_t waitMs = 0;
@@ -120,6 +124,8 @@
 
     Report explain()
     {
+        if (!m_options.loggedRequest.empty())
+            return explainFromLogs();
         if (auto opened = open(); !opened)
             return reportError(opened.error());
         const auto time = m_options.at.empty() ? wallClockMs() : parseTime(m_options.at);
@@ -142,6 +148,22 @@
     }
 
 private:
+    Report explainFromLogs() const
+    {
+        LogTrail trail(m_options.loggedRequest);
+        for (const auto &name : m_options.logs) {
+            if (name == "-") {
+                trail.read(std::cin);
+                continue;
+            }
+            std::ifstream file(name);
+            if (!file)
+                return reportError({ErrorCode::CommandUsage, name + ": cannot be read"});
+            trail.read(file);
+        }
+        return reportTrail(trail);
+    }
+
     Result<void> open()
     {
         // dump needs no platform; its calls go to nodes only.
@@ -250,9 +272,10 @@
             ->check(CLI::IsMember({"text", "json"}));
 }
 
-void addPlatform(CLI::App *command, Options &options)
+CLI::Option *addPlatform(CLI::App *command, Options &options)
 {
-    command->add_option("--platform", options.platform, "IP:port of the platform's object API")
+    return command
+            ->add_option("--platform", options.platform, "IP:port of the platform's object API")
             ->required();
 }
 
@@ -296,11 +319,18 @@
 
 void addExplain(CLI::App &app, Options &options, Run &run)
 {
-    auto *explain = addCommand(app, "explain", "Print decision records", run, &Command::explain);
+    auto *explain =
+            addCommand(app, "explain", "Print the way of a request from logs, or decision records",
+                       run, &Command::explain);
+    auto *id = explain->add_option("id", options.loggedRequest,
+                                   "request id; its way is read from the logs of nodes");
+    explain->add_option("--log", options.logs, "log to read (repeatable; '-': standard input)")
+            ->needs(id);
     auto *at = explain->add_option("--at", options.at, "time in UTC (default: now)");
     auto *endpoint = explain->add_option("--endpoint", options.endpoint, "endpoint id");
     auto *request = explain->add_option("--request", options.request, "request id");
     endpoint->needs(at)->excludes(request);
+    id->excludes(endpoint)->excludes(request);
     request->check(CLI::Validator(
             [](const std::string &text) {
                 return RequestId::fromHex(text) ? std::string() : "expected 32 hexadecimal digits";
@@ -315,11 +345,18 @@
             ->check(CLI::Range(0, 604800))
             ->capture_default_str();
     explain->parse_complete_callback([&options] {
+        if (!options.loggedRequest.empty()) {
+            if (options.logs.empty())
+                options.logs.emplace_back("-");
+            return;
+        }
         if (options.endpoint.empty() && options.request.empty())
-            throw CLI::RequiredError("--endpoint or --request");
+            throw CLI::RequiredError("id, --endpoint or --request");
+        if (options.platform.empty())
+            throw CLI::RequiredError("--platform");
     });
     addOutput(explain, options);
-    addPlatform(explain, options);
+    addPlatform(explain, options)->required(false);
 }
 
 void addReadCommands(CLI::App &app, Options &options, Run &run)
