Answer open requests when a stop reaches its limit

Ruled out: a process that does not stop in time; it left 300 ms before the end of the grace period as meant.

--- a/include/berylspur/gate/gate_task.h
+++ b/include/berylspur/gate/gate_task.h
@@ -40,6 +40,8 @@
     /// new requests.
     void stop(bool refuse);
 
+    /// Answers all open requests, because the process is about to end.
+    void endOpen();
     /// Requests whose response is not complete.
     std::size_t openRequests() const;
     nlohmann::json dump() const;
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -563,6 +563,16 @@
     m_deadlineTimer.start(DeadlineGrace);
 }
 
+void GateRequest::endOpen()
+{
+    if (m_done || m_streaming)
+        return;
+    if (m_dispatching && m_exchange && m_exchange->wasSent())
+        finishUnknown(ErrorCode::OutcomeUnknown);
+    else
+        finishNotRun(ErrorCode::NotRunStopping);
+}
+
 void GateRequest::graceEnded()
 {
     const bool sent = m_dispatching && m_exchange && m_exchange->wasSent();
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -26,6 +26,9 @@
     void begin();
     /// Answers at once with a "not run" \a code.
     void refuse(ErrorCode code, const std::string &detail = {});
+    /// Answers at once, since the node ends: "unknown" for what was sent to an owner, else "not
+    /// run". A response that has begun is left as it is.
+    void endOpen();
     /// Message: the home answered about the customer's rate.
     void leaseAnswered();
     void closeCallerAfterResponse() { m_caller->closeAfterResponse(); }
--- a/src/gate/gate_task.cpp
+++ b/src/gate/gate_task.cpp
@@ -69,6 +69,12 @@
         m_refusing = m_refusing || refuse;
         m_callers.closeAfterResponses();
     }
+    void endOpen()
+    {
+        const auto open = m_open; // requests leave it as they end
+        for (const auto &[key, request] : open)
+            request->endOpen();
+    }
     std::size_t openRequests() const { return m_open.size(); }
     nlohmann::json dump();
     std::string metrics() const;
@@ -279,6 +285,11 @@
     m_impl->stop(refuse);
 }
 
+void GateTask::endOpen()
+{
+    m_impl->endOpen();
+}
+
 std::size_t GateTask::openRequests() const
 {
     return m_impl->openRequests();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -440,8 +440,10 @@
         m_stopTimer.start(StopPoll);
         return;
     }
-    if (open > 0)
+    if (open > 0) {
         log::warn("stop-limit-reached", {{"open", openWork().dump()}});
+        m_gate.endOpen();
+    }
     // With an integration no request carries a key, so there is nothing to hand over.
     if (isIntegrated())
         leave(true);
