Let long requests keep a quarter of the slots while calls wait

Ruled out: refusing parents early by the state of the called service, tried and taken back in.

Change: while calls wait, long requests get a quarter of the slots, at least one. owner_scheduler_test replays it.

--- a/include/berylspur/owner/slot_scheduler.h
+++ b/include/berylspur/owner/slot_scheduler.h
@@ -152,6 +152,8 @@
     bool canStart(WorkClass workClass, TimePoint now) const;
     /// True if a waiting long request goes before short ones.
     bool longNeedsSlot(TimePoint now) const;
+    /// Slots that long requests may use while calls wait.
+    std::uint32_t longSlotsBesideCalls() const;
     /// True if the next long request waits for as long as one runs.
     bool longHasWaited(TimePoint now) const;
     Duration longPatience() const;
--- a/src/owner/slot_scheduler.cpp
+++ b/src/owner/slot_scheduler.cpp
@@ -28,6 +28,9 @@
 /// Without it a customer that keeps the queue full would shut out all others at arrival.
 constexpr std::uint32_t ReservedPart = 4;
 
+/// Share of the slots (1 / LongPartBesideCalls) that long requests may use while calls wait.
+constexpr std::uint32_t LongPartBesideCalls = 4;
+
 /// Retry-after while no service time is known, and the least that is stated.
 constexpr Duration UnknownRetryAfter = std::chrono::milliseconds(100);
 constexpr Duration LeastRetryAfter = std::chrono::milliseconds(10);
@@ -288,6 +291,10 @@
         return !isLastFree || m_long.size == 0 || !longNeedsSlot(now);
     if (m_long.running >= longSlotLimit())
         return false;
+    // While calls wait, long requests keep a few slots, so that they go on, and the rest is for
+    // calls.
+    if (m_calls.size > 0)
+        return m_long.running < longSlotsBesideCalls();
     // The last free slot is for the next short request, unless a long request is due.
     if (isLastFree)
         return longNeedsSlot(now);
@@ -308,11 +315,18 @@
         return true;
     if (m_long.size == 0 || m_long.running >= m_slots / 2)
         return false;
+    if (m_calls.size > 0)
+        return m_long.running < longSlotsBesideCalls();
     // Long requests that have waited get up to half of the slots, their fair share when both
     // classes ask for more than there is.
     return longHasWaited(now);
 }
 
+std::uint32_t SlotScheduler::longSlotsBesideCalls() const
+{
+    return std::max<std::uint32_t>(1, m_slots / LongPartBesideCalls);
+}
+
 bool SlotScheduler::longHasWaited(TimePoint now) const
 {
     if (m_long.size == 0)
--- a/tests/owner_scheduler_test.cpp
+++ b/tests/owner_scheduler_test.cpp
@@ -372,3 +372,47 @@
     // All calls first, and then no parent is forgotten.
     BOOST_TEST(order == std::string(calls, 'c') + std::string(parents, 'p'));
 }
+
+// Replays a called service with long requests of its own: they held half of its slots while calls
+// were refused, and each refused call lost a run elsewhere. A quarter keeps the long ones going.
+BOOST_AUTO_TEST_CASE(long_requests_keep_a_quarter_while_calls_wait)
+{
+    constexpr std::uint32_t Slots = 8;
+    SlotScheduler scheduler(Slots);
+    TimePoint now(1s);
+    std::uint32_t number = 0;
+    const auto enqueue = [&](bool isCall) {
+        QueuedRequest request;
+        request.id = idOf(++number);
+        request.workClass = isCall ? WorkClass::Short : WorkClass::Long;
+        request.route = isCall ? "call" : "bundle";
+        request.deadline = now + 100s;
+        request.isCall = isCall;
+        return !scheduler.enqueue(request, now).has_value();
+    };
+    constexpr int Steps = 100;
+    constexpr std::uint32_t LongSlots = Slots / 4;
+    constexpr int StepsPerLong = 10; // a long request takes this many times as long as a call
+    std::uint32_t longRuns = 0;
+    std::uint32_t callRuns = 0;
+    std::vector<RequestId> longRunning;
+    for (int step = 1; step <= Steps; ++step) {
+        while (enqueue(true) || enqueue(false)) {
+        }
+        std::vector<RequestId> calls;
+        while (const auto next = scheduler.next(now))
+            (next->isCall ? calls : longRunning).push_back(next->id);
+        BOOST_REQUIRE_EQUAL(longRunning.size(), LongSlots);
+        now += 100ms;
+        for (const auto &id : calls)
+            scheduler.finish(id, now);
+        callRuns += static_cast<std::uint32_t>(calls.size());
+        if (step % StepsPerLong == 0) {
+            for (const auto &id : std::exchange(longRunning, {}))
+                scheduler.finish(id, now);
+            longRuns += LongSlots;
+        }
+    }
+    BOOST_TEST(longRuns == 20U);
+    BOOST_TEST(callRuns == 600U);
+}
