--- a/src/owner/owned_endpoint.h
+++ b/src/owner/owned_endpoint.h
@@ -12,6 +12,7 @@
 #include "berylspur/transport/peer.h"
 #include "endpoint_client.h"
 
+#include <algorithm>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -62,6 +63,15 @@
     {
         return drainedByManifest || withdrawn || info.readiness == EndpointReadiness::Draining;
     }
+
+    /// Time since the oldest open request was admitted; zero without open requests.
+    Duration oldestRequestAge(TimePoint now) const
+    {
+        Duration oldest {};
+        for (const auto &[id, request] : requests)
+            oldest = std::max(oldest, now - request.admitted);
+        return oldest;
+    }
 };
 
 } // namespace berylspur
--- a/src/owner/owner_task.cpp
+++ b/src/owner/owner_task.cpp
@@ -50,6 +50,13 @@
     return result;
 }
 
+/// True if \a endpoint schedules the request as a long one, whatever its route declares.
+bool isLong(const schema::Dispatch &dispatch, const OwnedEndpoint &endpoint)
+{
+    const auto declared = fromSchema(dispatch.request_class());
+    return endpoint.scheduler.effectiveClass(dispatch.route(), declared) == RequestClass::Long;
+}
+
 } // namespace
 
 OwnerTask::Impl::Impl(OwnerTask &task, event_base *base, const schema::NodeSettings &settings,
@@ -263,6 +270,7 @@
     addFigure(record, "waited-ms", toFractionalMs(now - request.admitted));
     addFigure(record, "remaining-ms", toFractionalMs(request.deadline - now));
     addFigure(record, "queued", endpoint.scheduler.load().queued);
+    addFigure(record, "long", request.requestClass == RequestClass::Long ? 1 : 0);
     m_task.decisionMade.emit(record);
     request.started = now;
     ++m_dispatchedCount;
@@ -350,6 +358,9 @@
         addFigure(record, "queued", load.queued);
         addFigure(record, "free-slots", load.freeSlots);
         addFigure(record, "mean-service-ms", toFractionalMs(load.meanServiceTime));
+        addFigure(record, "long", isLong(dispatch, *endpoint) ? 1 : 0);
+        addFigure(record, "open", static_cast<double>(endpoint->requests.size()));
+        addFigure(record, "oldest-ms", toFractionalMs(endpoint->oldestRequestAge(BootClock::now())));
     }
     addFigure(record, "remaining-ms", dispatch.remaining_ms());
     m_task.decisionMade.emit(record);
