Let a trial go on beside requests that hang or are older than it

Cause: an owner admitted a trial request only if no other request was open at the endpoint. Endpoint i-29f139da0e was in trial from 33.11 to 44.98 because its one trial request hung until its deadline of 11.6 s (without a baseline after the restart there is no stall detection); i-583f8d9070 from 33.76 to 39.83 because ten requests from before the trial were still open. Ruled out: suspicion itself (all three were in phase trial, not suspect), leases, the store (calm then).

Change: only requests of the trial count; an open one delays the next one for 500 ms, and at most four are open.

Tests: requests_from_before_a_trial_do_not_delay_it failed with the old count (NotRunEjected instead of Ok) and passes now; hanging_trial_request_does_not_close_the_endpoint, trial_leaves_few_requests_to_an_endpoint_that_hangs. The assertions of trial_admits_few_idempotent_requests are kept with the new argument.

--- a/benchmark/service_model.h
+++ b/benchmark/service_model.h
@@ -165,6 +165,7 @@
     std::uint32_t endpoint = 0;
     TimePoint arrived;
     TimePoint deadline;
+    TimePoint admitted; ///< by the owner of the endpoint
     TimePoint started;
     std::uint32_t attempts = 0;
     std::uint32_t refusedBy = UINT32_MAX; ///< endpoint that refused the last attempt
@@ -354,7 +355,7 @@
         for (std::uint32_t i = 0; m_options.detectionEnabled && i < m_options.endpoints; ++i) {
             const GrayDetector &detector = m_endpoints[i]->detector;
             if (detector.phase() == DetectorPhase::Trial
-                && detector.admits(true, m_endpoints[i]->running)) {
+                && detector.admits(true, trialLoad(*m_endpoints[i]), m_now)) {
                 request.isTrial = true;
                 return i;
             }
@@ -407,16 +408,30 @@
         QueuedRequest queued {request.id, request.requestClass,
                               "customer" + std::to_string(request.customer),
                               routes[static_cast<int>(request.requestClass)], request.deadline};
-        const bool isAdmitted =
-                !m_options.detectionEnabled || endpoint.detector.admits(true, endpoint.running);
+        const bool isAdmitted = !m_options.detectionEnabled
+                                || endpoint.detector.admits(true, trialLoad(endpoint), m_now);
         if (!isAdmitted || endpoint.scheduler.enqueue(queued, m_now)) {
             schedule(m_now + m_options.oneWayDelay, Kind::Refused, index, request.id);
             return;
         }
+        request.admitted = m_now;
         endpoint.open[request.id] = index;
         dispatchQueued(request.endpoint);
     }
 
+    TrialLoad trialLoad(const Endpoint &endpoint) const
+    {
+        TrialLoad load;
+        for (const auto &[id, index] : endpoint.open) {
+            const TimePoint admitted = m_requests[index].admitted;
+            if (admitted < endpoint.detector.phaseSince())
+                continue;
+            ++load.open;
+            load.lastAdmitted = std::max(load.lastAdmitted, admitted);
+        }
+        return load;
+    }
+
     Duration baselineFor(const Gate &gate, const ModelRequest &request) const
     {
         const int requestClass = static_cast<int>(request.requestClass);
--- a/include/berylspur/owner/gray_detector.h
+++ b/include/berylspur/owner/gray_detector.h
@@ -78,6 +78,14 @@
     bool isCausedByErrors = false; ///< suspect because of failed rather than slow requests
 };
 
+/// Requests of the current trial that are queued or running. Requests that were admitted before the
+/// trial are not part of it.
+struct TrialLoad
+{
+    std::uint32_t open = 0;
+    TimePoint lastAdmitted = TimePoint::min(); ///< admission of the latest of them
+};
+
 /// Per-endpoint state machine. Latency is compared to the baseline of the same service, class and
 /// route, so a slowdown of the whole service makes no endpoint suspect.
 class GrayDetector
@@ -129,10 +137,12 @@
     /// True if a probe is due. Mode Gray probes an idle endpoint, and a suspect one after the
     /// recovery delay; mode Probes probes once per second.
     bool isProbeDue(TimePoint now) const;
-    /// True if the phase allows a request to start. Trial admits one request at a time: only
-    /// idempotent ones, or any if none started within 30 s. \a openCount: queued and running
-    /// requests.
-    bool admits(bool idempotent, std::uint32_t openCount) const;
+    /// True if the phase allows another request to start. Trial admits idempotent requests, or any
+    /// if none started within 30 s: the next one when the previous one has ended or has been open
+    /// for 500 ms, and at most four at a time.
+    bool admits(bool idempotent, const TrialLoad &trial, TimePoint now) const;
+    /// Start of the current phase.
+    TimePoint phaseSince() const { return m_phaseSince; }
     /// Median time to first byte for \a requestClass at this endpoint; zero if unknown.
     Duration median(RequestClass requestClass) const;
 
--- a/src/owner/gray_detector.cpp
+++ b/src/owner/gray_detector.cpp
@@ -89,6 +89,11 @@
 /// time. Otherwise a service without idempotent requests would never pass a trial.
 constexpr Duration TrialIdempotentOnlyTime = std::chrono::seconds(30);
 constexpr double TrialSlowFactor = 8;
+/// Time after which an open trial request no longer delays the next one. A request that hangs, or
+/// waits for its own nested calls, would otherwise close the endpoint until its deadline.
+constexpr Duration TrialRequestPatience = std::chrono::milliseconds(500);
+/// Limits the requests that an endpoint which still hangs takes in one trial.
+constexpr std::uint32_t MaxOpenTrialRequests = 4;
 
 /// The owner publishes at least 50, so the first step has the effect of 50.
 constexpr std::array<std::uint32_t, 3> RampPercents {25, 50, 75};
@@ -374,7 +379,7 @@
            && (last == TimePoint::min() || now - last >= IdleProbeInterval || (failing && due));
 }
 
-bool GrayDetector::admits(bool idempotent, std::uint32_t openCount) const
+bool GrayDetector::admits(bool idempotent, const TrialLoad &trial, TimePoint now) const
 {
     if (m_isHeldByFloor)
         return true;
@@ -383,7 +388,11 @@
         return m_policy.admitsWhileSuspect;
     if (m_phase != DetectorPhase::Trial)
         return true;
-    return openCount == 0 && (idempotent || m_trialAdmitsNonIdempotent);
+    if (!idempotent && !m_trialAdmitsNonIdempotent)
+        return false;
+    return trial.open == 0
+           || (trial.open < MaxOpenTrialRequests
+               && now - trial.lastAdmitted >= TrialRequestPatience);
 }
 
 Duration GrayDetector::median(RequestClass requestClass) const
--- a/src/owner/owned_endpoint.h
+++ b/src/owner/owned_endpoint.h
@@ -64,6 +64,19 @@
         return drainedByManifest || withdrawn || info.readiness == EndpointReadiness::Draining;
     }
 
+    /// Open requests that were admitted since the current phase of the detector began.
+    TrialLoad trialLoad() const
+    {
+        TrialLoad load;
+        for (const auto &[id, request] : requests) {
+            if (request.admitted < detector.phaseSince())
+                continue;
+            ++load.open;
+            load.lastAdmitted = std::max(load.lastAdmitted, request.admitted);
+        }
+        return load;
+    }
+
     /// Time since the oldest open request was admitted; zero without open requests.
     Duration oldestRequestAge(TimePoint now) const
     {
--- a/src/owner/owner_task.cpp
+++ b/src/owner/owner_task.cpp
@@ -137,8 +137,9 @@
         return ErrorCode::NotRunDraining;
     if (!endpoint->lease.isValid(now))
         return ErrorCode::NotRunLeaseLapsed;
-    const auto openCount = static_cast<std::uint32_t>(endpoint->requests.size());
-    if (!endpoint->detector.admits(dispatch.idempotent(), openCount))
+    const bool isInTrial = endpoint->detector.phase() == DetectorPhase::Trial;
+    const auto trial = isInTrial ? endpoint->trialLoad() : TrialLoad {};
+    if (!endpoint->detector.admits(dispatch.idempotent(), trial, now))
         return ErrorCode::NotRunEjected;
     const auto service = m_services.find(dispatch.service());
     if (service == m_services.end())
@@ -360,7 +361,8 @@
         addFigure(record, "mean-service-ms", toFractionalMs(load.meanServiceTime));
         addFigure(record, "long", isLong(dispatch, *endpoint) ? 1 : 0);
         addFigure(record, "open", static_cast<double>(endpoint->requests.size()));
-        addFigure(record, "oldest-ms", toFractionalMs(endpoint->oldestRequestAge(BootClock::now())));
+        addFigure(record, "oldest-ms",
+                  toFractionalMs(endpoint->oldestRequestAge(BootClock::now())));
     }
     addFigure(record, "remaining-ms", dispatch.remaining_ms());
     m_task.decisionMade.emit(record);
--- a/tests/owner_detector_test.cpp
+++ b/tests/owner_detector_test.cpp
@@ -96,7 +96,7 @@
             }
         }
         if (draw(m_random) < 0.1 && m_running.size() < Slots
-            && detector.admits(idempotent, static_cast<std::uint32_t>(m_running.size()))
+            && detector.admits(idempotent, trialLoad(), m_now)
             && draw(m_random) * 100 < std::max(20u, detector.rampPercent())) {
             detector.addBaselineSample(
                     RequestClass::Short,
@@ -110,6 +110,18 @@
         detector.tick(m_now);
     }
 
+    TrialLoad trialLoad() const
+    {
+        TrialLoad load;
+        for (const Running &request : m_running) {
+            if (request.started < detector.phaseSince())
+                continue;
+            ++load.open;
+            load.lastAdmitted = std::max(load.lastAdmitted, request.started);
+        }
+        return load;
+    }
+
     void start(const Treatment &treatment)
     {
         std::lognormal_distribution<double> time(std::log(double(Median.count())), 0.8);
@@ -320,16 +332,19 @@
     detector.recordProbe(true, now);
     BOOST_TEST(detector.phase() == DetectorPhase::Trial);
     BOOST_TEST(detector.severity() > 0u);
-    BOOST_TEST(detector.admits(true, 0));
-    BOOST_TEST(!detector.admits(true, 1));
-    BOOST_TEST(!detector.admits(false, 0));
+    const TrialLoad none;
+    const TrialLoad oneJustAdmitted {1, now};
+    BOOST_TEST(detector.admits(true, none, now));
+    BOOST_TEST(!detector.admits(true, oneJustAdmitted, now));
+    BOOST_TEST(!detector.admits(false, none, now));
     detector.setHeldByFloor(true);
-    BOOST_TEST(detector.admits(false, 3));
+    BOOST_TEST(detector.admits(false, {3, now}, now));
     BOOST_TEST(detector.rampPercent() == 100u);
     detector.setHeldByFloor(false);
-    detector.tick(now + 31s);
-    BOOST_TEST(detector.admits(false, 0));
-    BOOST_TEST(!detector.admits(false, 1));
+    now += 31s;
+    detector.tick(now);
+    BOOST_TEST(detector.admits(false, none, now));
+    BOOST_TEST(!detector.admits(false, {1, now}, now));
 }
 
 // Guards against an idle endpoint that is not probed, and a busy one whose slots are used by
@@ -401,6 +416,49 @@
 
 } // namespace
 
+// Guards against a healthy endpoint that one trial request closes for as long as it hangs: after a
+// power cut three of five endpoints of a service ran one request in six seconds.
+BOOST_AUTO_TEST_CASE(hanging_trial_request_does_not_close_the_endpoint)
+{
+    using std::chrono::milliseconds;
+    Random random(7);
+    TimePoint now {};
+    GrayDetector detector(DetectionMode::Gray, DetectorPolicy::sparse());
+    runRequest(detector, random, now, RequestOutcome::Reset, milliseconds(1));
+    now += milliseconds(1100);
+    detector.tick(now);
+    BOOST_REQUIRE((detector.phase() == DetectorPhase::Trial));
+    const TrialLoad hanging {1, now};
+    detector.onRequestStarted(RequestId::generate(random), RequestClass::Long, now, "bundle");
+    BOOST_TEST(!detector.admits(true, hanging, now + milliseconds(499)));
+    now += milliseconds(500);
+    detector.tick(now);
+    BOOST_TEST(detector.admits(true, hanging, now));
+    BOOST_TEST(!detector.admits(false, hanging, now));
+    runRequest(detector, random, now, RequestOutcome::Answered, milliseconds(100));
+    runRequest(detector, random, now, RequestOutcome::Answered, milliseconds(100));
+    BOOST_TEST((detector.phase() == DetectorPhase::Trusted));
+}
+
+// Guards against an endpoint that hangs and takes a further request every 500 ms.
+BOOST_AUTO_TEST_CASE(trial_leaves_few_requests_to_an_endpoint_that_hangs)
+{
+    Random random(7);
+    TimePoint now {};
+    GrayDetector detector(DetectionMode::Gray, DetectorPolicy::sparse());
+    runRequest(detector, random, now, RequestOutcome::Reset, std::chrono::milliseconds(1));
+    TrialLoad hanging;
+    for (const auto until = now + std::chrono::seconds(30); now < until;
+         now += std::chrono::milliseconds(50)) {
+        detector.tick(now);
+        if (!detector.admits(true, hanging, now))
+            continue;
+        detector.onRequestStarted(RequestId::generate(random), RequestClass::Short, now);
+        hanging = {hanging.open + 1, now};
+    }
+    BOOST_TEST(hanging.open == 4U);
+}
+
 // Guards against waiting for more evidence at a few requests per second: a failure that lasts
 // seconds ends before enough evidence arrives, and each further failed request may be a
 // non-idempotent one that is lost.
@@ -414,14 +472,14 @@
         runRequest(detector, random, now, RequestOutcome::Answered, milliseconds(100));
     runRequest(detector, random, now, RequestOutcome::Reset, milliseconds(1));
     BOOST_TEST((detector.phase() == DetectorPhase::Suspect));
-    BOOST_TEST(!detector.admits(true, 0));
+    BOOST_TEST(!detector.admits(true, {}, now));
     BOOST_TEST(!detector.isProbeDue(now + std::chrono::seconds(5)));
     now += milliseconds(1100);
     detector.tick(now);
     BOOST_TEST((detector.phase() == DetectorPhase::Trial));
-    BOOST_TEST(detector.admits(true, 0));
-    BOOST_TEST(!detector.admits(false, 0));
-    BOOST_TEST(!detector.admits(true, 1));
+    BOOST_TEST(detector.admits(true, {}, now));
+    BOOST_TEST(!detector.admits(false, {}, now));
+    BOOST_TEST(!detector.admits(true, {1, now}, now));
     runRequest(detector, random, now, RequestOutcome::Answered, milliseconds(100));
     runRequest(detector, random, now, RequestOutcome::Answered, milliseconds(100));
     BOOST_TEST((detector.phase() == DetectorPhase::Trusted));
@@ -480,9 +538,9 @@
     TimePoint now {};
     GrayDetector detector(DetectionMode::Gray, DetectorPolicy::sparse());
     runRequest(detector, random, now, RequestOutcome::Reset, std::chrono::milliseconds(1));
-    BOOST_TEST(!detector.admits(false, 0));
+    BOOST_TEST(!detector.admits(false, {}, now));
     detector.setHeldByFloor(true);
-    BOOST_TEST(detector.admits(false, 0));
+    BOOST_TEST(detector.admits(false, {}, now));
 }
 
 // Guards against the ejection of an endpoint because of a common baseline of fast and slow routes:
--- a/tests/owner_task_test.cpp
+++ b/tests/owner_task_test.cpp
@@ -33,6 +33,11 @@
         ++endpoint->requests;
         if (endpoint->neverResponds)
             return;
+        if (endpoint->failures > 0) {
+            --endpoint->failures;
+            evhttp_send_error(request, HTTP_INTERNAL, nullptr);
+            return;
+        }
         auto *body = evbuffer_new();
         evbuffer_add_printf(body, "run %d", endpoint->requests);
         evhttp_send_reply(request, HTTP_OK, "OK", body);
@@ -43,12 +48,14 @@
     Address address;
     int requests = 0;
     bool neverResponds = false; // accepts requests but never responds
+    int failures = 0; // number of next requests to answer with status 500
 };
 
 /// An owner behind a peer server, and a channel to that server.
 struct Fixture
 {
-    Fixture() : endpoint(loop.base), owner(loop.base, settings(), OwnerIncarnation)
+    explicit Fixture(schema::DetectionPolicy detection = schema::DETECTION_GRAY)
+        : endpoint(loop.base), owner(loop.base, settings(detection), OwnerIncarnation)
     {
         BOOST_REQUIRE(owner.start().has_value());
         auto listening =
@@ -66,9 +73,10 @@
         });
     }
 
-    schema::NodeSettings settings()
+    schema::NodeSettings settings(schema::DetectionPolicy detection = schema::DETECTION_GRAY)
     {
         schema::NodeSettings result;
+        result.mutable_policy()->set_detection(detection);
         result.mutable_node()->set_name("owner");
         result.mutable_addresses()->set_announce(announceAddress.toString());
         return result;
@@ -243,6 +251,53 @@
 
 namespace {
 
+struct SparseFixture : Fixture
+{
+    SparseFixture() : Fixture(schema::DETECTION_SPARSE) { }
+
+    schema::Dispatch makeIdempotentDispatch()
+    {
+        auto dispatch = makeDispatch(RequestId::generate(random));
+        dispatch.set_idempotent(true);
+        return dispatch;
+    }
+    /// Starts a non-idempotent request that the endpoint never answers.
+    void startHangingRequest()
+    {
+        endpoint.neverResponds = true;
+        const int before = endpoint.requests;
+        channel->start(
+                PeerMethod::Dispatch,
+                [dispatch = makeDispatch(RequestId::generate(random))](std::uint64_t tick) mutable {
+                    dispatch.set_last_tick(tick);
+                    return dispatch.SerializeAsString();
+                },
+                "", {});
+        BOOST_REQUIRE(loop.runUntil([&] { return endpoint.requests > before; }));
+        endpoint.neverResponds = false;
+    }
+};
+
+} // namespace
+
+// Guards against requests from before a trial that delay it until they end: an endpoint that the
+// floor held in rotation had ten open requests when its trial began, and ran nothing for 5 s.
+BOOST_FIXTURE_TEST_CASE(requests_from_before_a_trial_do_not_delay_it, SparseFixture)
+{
+    announce("ready");
+    startHangingRequest();
+    endpoint.failures = 2;
+    send(makeIdempotentDispatch());
+    send(makeIdempotentDispatch());
+    BOOST_TEST((codeOf(send(makeIdempotentDispatch())) == ErrorCode::NotRunEjected));
+    announce("ready");
+    BOOST_REQUIRE(loop.runUntil([&] { return decisionRules.back() == "delay-ended"; }));
+    BOOST_TEST((codeOf(send(makeIdempotentDispatch())) == ErrorCode::Ok));
+    BOOST_TEST(owner.openRequests() == 1U);
+}
+
+namespace {
+
 /// An owner whose endpoints send start times and sequence numbers in their announcements.
 struct IntegratedFixture : Fixture
 {
