Count an endpoint in trial with the slots that its owner admits

Cause: rotation() counted an endpoint in trial with half of its slots, while its owner admits one request at a time. An endpoint that the floor held also closed when its trial began, since owners asked for the floor only while suspect (i-583f8d9070 at 33.76).

Ruled out: the gates' choice (they tried every endpoint and were refused by owners), the value of the floor.

Change: an endpoint in trial counts with one slot; where the floor needs more, the trial is opened to all slots (OpenedByFloor), failing kinds against half of the floor as before. Records say that an endpoint is in trial; gates send it non-idempotent requests only if nothing else is left.

Tests: trials_are_opened_below_the_floor, 8 failures with the old count (11 of 14, 12 of 17, 26 of 28, 1 of 3 slots usable), none now; floors_hold_for_any_view draws trials too.

--- a/include/berylspur/owner/gray_detector.h
+++ b/include/berylspur/owner/gray_detector.h
@@ -150,6 +150,8 @@
     /// does, admits() and rampPercent() are unrestricted. Otherwise the owner could reduce the
     /// capacity below the floor.
     void setHeldByFloor(bool held);
+    /// True in a trial that admits requests without restriction, because the floor needs the slots.
+    bool isOpenedByFloor() const;
 
 private:
     /// Index into m_baselines for a class and route.
--- a/include/berylspur/routing/rotation.h
+++ b/include/berylspur/routing/rotation.h
@@ -22,6 +22,8 @@
     std::string rule; ///< rule that raised the suspicion
     bool failsRequests = false; ///< suspected because requests failed, not because of slowness
     std::uint32_t rampPercent = 100; ///< share of its requests that a recovering endpoint receives
+    bool onTrial =
+            false; ///< its owner admits a few requests only, unless the floor needs its slots
     bool ownerAlive = true; ///< false: the endpoint is unreachable
 };
 
@@ -34,32 +36,46 @@
     std::uint32_t failingFloorSlots = UINT32_MAX;
 };
 
-enum class RotationVerdict { InRotation, Ejected, HeldByFloor, NotReady, OwnerGone };
+enum class RotationVerdict {
+    InRotation,
+    Ejected,
+    HeldByFloor, ///< suspect; stays in rotation because its ejection would leave too few slots
+    OpenedByFloor, ///< in trial; admits requests to all slots because too few others do
+    NotReady,
+    OwnerGone,
+};
 
 struct RotationEntry
 {
     std::size_t endpoint = 0; ///< index into the view
     RotationVerdict verdict = RotationVerdict::InRotation;
+
+    /// True if the endpoint receives requests.
+    bool isInRotation() const;
+    /// True if it receives requests and is not a suspect that the floor holds.
+    bool isHealthy() const;
 };
 
 struct Rotation
 {
     std::vector<RotationEntry> entries; ///< one per endpoint of the view, in its order
-    /// Indices of the endpoints with verdict InRotation or HeldByFloor, ordered by failure domain
+    /// Indices of the endpoints that are in rotation by their verdict, ordered by failure domain
     /// and index so that the picker finds the endpoints of a domain by binary search.
     std::vector<std::uint32_t> admitted;
-    /// Slots of the admitted endpoints, including those held by the floor. A recovering endpoint
-    /// counts in proportion to its rampPercent.
+    /// Slots of the admitted endpoints that requests can use, including those held by the floor. A
+    /// recovering endpoint counts in proportion to its rampPercent, one in trial with one slot.
     std::uint32_t slotsInRotation = 0;
 
-    /// True if at least one endpoint has the verdict InRotation, rather than HeldByFloor.
+    /// True if at least one endpoint isHealthy().
     bool hasHealthyEndpoint() const;
 };
 
-/// Ejects suspect endpoints: those that fail requests first, then by descending severity, then by
-/// id. An endpoint whose ejection would leave fewer slots than the floor of its kind stays in
-/// rotation (HeldByFloor); the next ones are still checked. Draining, cold and unreachable
-/// endpoints do not count as capacity.
+/// Ejects suspect endpoints and limits those in trial to one slot: first the endpoints that fail
+/// requests, then the slow ones; of each kind first the suspects, which have just failed, then
+/// those in trial, which may be healthy again; then by descending severity and by id. A suspect
+/// whose ejection would leave fewer slots than the floor of its kind stays in rotation
+/// (HeldByFloor); an endpoint in trial whose limit would do so is opened (OpenedByFloor); the next
+/// ones are still checked. Draining, cold and unreachable endpoints do not count as capacity.
 Rotation rotation(const std::vector<EndpointView> &view, const RotationConfig &config);
 
 } // namespace berylspur
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -279,9 +279,9 @@
     auto excluded = m_excludedEndpoints;
     const bool anyPathFailed = m_context.pathHealth.size() > 0;
     for (const auto &endpoint : view.endpoints) {
-        const bool isRamping = endpoint.rampPercent > 0 && endpoint.rampPercent < 100;
+        const bool isRecovering = endpoint.rampPercent < 100 || endpoint.onTrial;
         const bool skip =
-                isRamping && (!m_idempotent || m_context.random() % 100 >= endpoint.rampPercent);
+                isRecovering && (!m_idempotent || m_context.random() % 100 >= endpoint.rampPercent);
         if (skip || (anyPathFailed && !m_context.pathHealth.isUsable(endpoint.node, now)))
             excluded.insert(endpoint.id);
     }
--- a/src/gate/gate_task.cpp
+++ b/src/gate/gate_task.cpp
@@ -16,10 +16,11 @@
 constexpr Duration MaintenanceInterval = std::chrono::seconds(1);
 constexpr Duration PeerIdleTimeout = std::chrono::seconds(60);
 
-constexpr EnumTable<RotationVerdict, 5> VerdictNames {{
+constexpr EnumTable<RotationVerdict, 6> VerdictNames {{
         {RotationVerdict::InRotation, "in"},
         {RotationVerdict::Ejected, "ejected"},
         {RotationVerdict::HeldByFloor, "held-by-floor"},
+        {RotationVerdict::OpenedByFloor, "opened-by-floor"},
         {RotationVerdict::NotReady, "not-ready"},
         {RotationVerdict::OwnerGone, "owner-gone"},
 }};
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -352,6 +352,7 @@
                              .rule = endpoint.suspicion().rule(),
                              .failsRequests = endpoint.suspicion().fails_requests(),
                              .rampPercent = rampPercentOf(endpoint.suspicion()),
+                             .onTrial = endpoint.suspicion().on_trial(),
                              .ownerAlive = !isGone(record.status())});
         }
     }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -328,13 +328,15 @@
     for (const auto &own : table.self().endpoints()) {
         bool held = false;
         const auto *config = m_config.store().find(own.service());
-        if (own.suspicion().severity() > 0 && config) {
+        const bool isLimited = own.suspicion().severity() > 0 || own.suspicion().on_trial();
+        if (isLimited && config) {
             const auto view = table.endpoints(own.service());
             const auto result = rotation(view, rotationConfig(config->content(), view));
             held = std::any_of(result.entries.begin(), result.entries.end(),
                                [&](const auto &entry) {
                                    return view[entry.endpoint].id == own.id()
-                                          && entry.verdict == RotationVerdict::HeldByFloor;
+                                          && (entry.verdict == RotationVerdict::HeldByFloor
+                                              || entry.verdict == RotationVerdict::OpenedByFloor);
                                });
         }
         m_owner.setHeldByFloor(own.id(), held);
--- a/src/owner/gray_detector.cpp
+++ b/src/owner/gray_detector.cpp
@@ -412,6 +412,11 @@
     m_isHeldByFloor = held;
 }
 
+bool GrayDetector::isOpenedByFloor() const
+{
+    return m_isHeldByFloor && m_phase == DetectorPhase::Trial;
+}
+
 void GrayDetector::recordOutcome(const InFlight &request, RequestOutcome outcome, TimePoint now)
 {
     // Requests that started before the last phase change are no evidence for the current phase.
--- a/src/owner/owner_report.cpp
+++ b/src/owner/owner_report.cpp
@@ -39,6 +39,7 @@
     auto *suspicion = record.mutable_suspicion();
     suspicion->set_rule(detector.rule());
     suspicion->set_fails_requests(detector.failsRequests());
+    suspicion->set_on_trial(detector.phase() == DetectorPhase::Trial);
     if (detector.phase() == DetectorPhase::Suspect)
         suspicion->set_severity(detector.severity());
     else
--- a/src/owner/owner_task.cpp
+++ b/src/owner/owner_task.cpp
@@ -286,7 +286,7 @@
     load.set_queued(slotLoad.queued);
     load.set_slots(slotLoad.slots);
     load.set_mean_service_us(static_cast<std::uint32_t>(slotLoad.meanServiceTime.count()));
-    load.set_suspicion(endpoint.detector.severity());
+    load.set_suspicion(endpoint.detector.isOpenedByFloor() ? 0 : endpoint.detector.severity());
 }
 
 void OwnerTask::Impl::failRequest(OwnedRequest &request, ErrorCode code,
--- a/src/routing/endpoint_picker.cpp
+++ b/src/routing/endpoint_picker.cpp
@@ -112,7 +112,7 @@
         return excluded.empty() || !excluded.contains(view[i].id);
     };
     const auto isHealthy = [&](std::uint32_t i) {
-        return isAllowed(i) && rotation.entries[i].verdict == RotationVerdict::InRotation
+        return isAllowed(i) && rotation.entries[i].isHealthy()
                && !hasRecentFailure(view[i].id, now);
     };
 
--- a/src/routing/rotation.cpp
+++ b/src/routing/rotation.cpp
@@ -17,29 +17,87 @@
     return RotationVerdict::InRotation;
 }
 
+/// Slots that the owner of an endpoint in trial admits requests to; more only if they hang.
+constexpr std::uint32_t TrialSlots = 1;
+
 /// Slots that count as capacity. A recovering endpoint counts in proportion to its share of
-/// requests.
+/// requests; one in trial counts fully, since it can be opened.
 std::uint32_t countedSlots(const EndpointView &endpoint)
 {
     constexpr std::uint64_t Percent = 100;
+    if (endpoint.onTrial)
+        return endpoint.slots;
     return static_cast<std::uint32_t>(std::uint64_t {endpoint.slots} * endpoint.rampPercent
                                       / Percent);
 }
 
+/// Indices of the endpoints that may be ejected or limited, in this order.
+std::vector<std::uint32_t> removalOrder(const Rotation &rotation,
+                                        const std::vector<EndpointView> &view)
+{
+    std::vector<std::uint32_t> order;
+    for (const std::uint32_t i : rotation.admitted) {
+        if (view[i].severity > 0 || view[i].onTrial)
+            order.push_back(i);
+    }
+    std::sort(order.begin(), order.end(), [&view](std::uint32_t left, std::uint32_t right) {
+        const EndpointView &a = view[left];
+        const EndpointView &b = view[right];
+        // Endpoints that fail requests go before slow ones, which the floor then protects. Ties are
+        // broken by id, so that nodes with the same view in a different order agree.
+        return std::tie(b.failsRequests, a.onTrial, b.severity, a.id)
+               < std::tie(a.failsRequests, b.onTrial, a.severity, b.id);
+    });
+    return order;
+}
+
+/// Ejects the suspects, and limits the endpoints in trial, that the floor can spare.
+void reduceToFloor(Rotation &rotation, const std::vector<EndpointView> &view,
+                   const RotationConfig &config)
+{
+    for (const std::uint32_t i : removalOrder(rotation, view)) {
+        const EndpointView &endpoint = view[i];
+        const std::uint32_t kept = endpoint.onTrial ? std::min(endpoint.slots, TrialSlots) : 0;
+        const std::uint32_t removed = countedSlots(endpoint) - kept;
+        const std::uint32_t floor = endpoint.failsRequests
+                                            ? std::min(config.failingFloorSlots, config.floorSlots)
+                                            : config.floorSlots;
+        // One that is too large to remove does not protect a smaller one that follows.
+        const bool canRemove =
+                rotation.slotsInRotation >= removed && rotation.slotsInRotation - removed >= floor;
+        if (canRemove)
+            rotation.slotsInRotation -= removed;
+        if (endpoint.onTrial)
+            rotation.entries[i].verdict =
+                    canRemove ? RotationVerdict::InRotation : RotationVerdict::OpenedByFloor;
+        else
+            rotation.entries[i].verdict =
+                    canRemove ? RotationVerdict::Ejected : RotationVerdict::HeldByFloor;
+    }
+}
+
 } // namespace
 
+bool RotationEntry::isInRotation() const
+{
+    return isHealthy() || verdict == RotationVerdict::HeldByFloor;
+}
+
+bool RotationEntry::isHealthy() const
+{
+    return verdict == RotationVerdict::InRotation || verdict == RotationVerdict::OpenedByFloor;
+}
+
 bool Rotation::hasHealthyEndpoint() const
 {
-    return std::any_of(entries.begin(), entries.end(), [](const RotationEntry &entry) {
-        return entry.verdict == RotationVerdict::InRotation;
-    });
+    return std::any_of(entries.begin(), entries.end(),
+                       [](const RotationEntry &entry) { return entry.isHealthy(); });
 }
 
 Rotation rotation(const std::vector<EndpointView> &view, const RotationConfig &config)
 {
     Rotation result;
     result.entries.reserve(view.size());
-    std::vector<std::uint32_t> suspects;
     for (std::size_t i = 0; i < view.size(); ++i) {
         const RotationVerdict verdict = baseVerdict(view[i]);
         result.entries.push_back({i, verdict});
@@ -47,30 +105,8 @@
             continue;
         result.admitted.push_back(static_cast<std::uint32_t>(i));
         result.slotsInRotation += countedSlots(view[i]);
-        if (view[i].severity > 0)
-            suspects.push_back(static_cast<std::uint32_t>(i));
-    }
-
-    // Ties are broken by id, so that nodes with the same view in a different order eject the same
-    // endpoints.
-    std::sort(suspects.begin(), suspects.end(), [&view](std::uint32_t left, std::uint32_t right) {
-        // Endpoints that fail requests are ejected before slow ones, which the floor then protects.
-        return std::tie(view[right].failsRequests, view[right].severity, view[left].id)
-               < std::tie(view[left].failsRequests, view[left].severity, view[right].id);
-    });
-    for (const std::uint32_t suspect : suspects) {
-        const std::uint32_t slots = countedSlots(view[suspect]);
-        const std::uint32_t floor = view[suspect].failsRequests
-                                            ? std::min(config.failingFloorSlots, config.floorSlots)
-                                            : config.floorSlots;
-        // A suspect too large to eject does not stop the ejection of a smaller, less severe one.
-        const bool canEject =
-                result.slotsInRotation >= slots && result.slotsInRotation - slots >= floor;
-        result.entries[suspect].verdict =
-                canEject ? RotationVerdict::Ejected : RotationVerdict::HeldByFloor;
-        if (canEject)
-            result.slotsInRotation -= slots;
     }
+    reduceToFloor(result, view, config);
 
     std::erase_if(result.admitted, [&result](std::uint32_t i) {
         return result.entries[i].verdict == RotationVerdict::Ejected;
--- a/tests/failing_endpoints_test.cpp
+++ b/tests/failing_endpoints_test.cpp
@@ -43,6 +43,26 @@
     return view;
 }
 
+/// Slots of endpoint \a i that its owner admits requests to: one in a trial that the floor did not
+/// open.
+std::uint32_t admittedSlots(const std::vector<EndpointView> &view, const Rotation &state,
+                            std::size_t i)
+{
+    const RotationEntry &entry = state.entries[i];
+    if (!entry.isInRotation())
+        return 0;
+    const bool isLimited = view[i].onTrial && entry.verdict != RotationVerdict::OpenedByFloor;
+    return isLimited ? 1 : view[i].slots;
+}
+
+std::uint32_t usableSlots(const std::vector<EndpointView> &view, const Rotation &state)
+{
+    std::uint32_t slots = 0;
+    for (std::size_t i = 0; i < view.size(); ++i)
+        slots += admittedSlots(view, state, i);
+    return slots;
+}
+
 /// Share of Picks requests that a gate sends to the first \a failing endpoints. Failing endpoints
 /// report all slots as free, since their requests end immediately; the others are half busy.
 double shareSentToFailing(const std::vector<EndpointView> &view, const RotationConfig &config,
@@ -100,6 +120,55 @@
     BOOST_TEST(state.admitted.size() == sample.inRotation);
 }
 
+namespace {
+
+struct TrialCase
+{
+    const char *name;
+    std::size_t trusted;
+    std::size_t suspect;
+    std::size_t onTrial;
+    bool failsRequests; ///< reason of the suspicions
+    std::size_t opened; ///< endpoints in trial that admit requests to all slots
+};
+
+std::ostream &operator<<(std::ostream &out, const TrialCase &sample)
+{
+    return out << sample.name;
+}
+
+// Slots are 8 each; the floor is 70% of them, or 35% where requests failed.
+const std::vector<TrialCase> TrialCases {
+        {"enough are trusted", 3, 0, 2, true, 0},
+        {"after a power cut", 1, 1, 3, true, 1},
+        {"none is trusted", 0, 2, 4, true, 2},
+        {"a trial after slowness counts against the full floor", 3, 0, 2, false, 1},
+        {"the only endpoint", 0, 0, 1, true, 1},
+};
+
+} // namespace
+
+// Guards against endpoints in trial that count as capacity although their owners admit one request
+// at a time: a service had one of five endpoints open for six seconds, and the floor held no other.
+BOOST_DATA_TEST_CASE(trials_are_opened_below_the_floor, data::make(TrialCases), sample)
+{
+    const std::size_t size = sample.trusted + sample.suspect + sample.onTrial;
+    auto view = makeView(size, 0, 0);
+    for (std::size_t i = sample.trusted; i < size; ++i) {
+        view[i].onTrial = i >= sample.trusted + sample.suspect;
+        view[i].severity = view[i].onTrial ? 0 : 80; // owners publish no severity in a trial
+        view[i].failsRequests = sample.failsRequests;
+        view[i].rampPercent = view[i].onTrial ? 50 : 100;
+    }
+    const auto config = rotationConfig(service(), view);
+    const auto state = rotation(view, config);
+    const auto floor = sample.failsRequests ? config.failingFloorSlots : config.floorSlots;
+    BOOST_TEST(usableSlots(view, state) >= floor);
+    const auto opened = std::ranges::count(state.entries, RotationVerdict::OpenedByFloor,
+                                           &RotationEntry::verdict);
+    BOOST_TEST(static_cast<std::size_t>(opened) == sample.opened);
+}
+
 // Guards against failing endpoints that attract requests: each endpoint that the floor held in
 // rotation took and failed 28 requests within one second, because the healthy endpoints were full
 // while a failing one always has free slots.
@@ -120,18 +189,16 @@
         for (auto &endpoint : view) {
             endpoint.severity = *rc::gen::inRange(0U, 4U);
             endpoint.failsRequests = endpoint.severity > 0 && *rc::gen::arbitrary<bool>();
+            endpoint.onTrial = endpoint.severity > 0 && *rc::gen::arbitrary<bool>();
         }
         const auto config = rotationConfig(service(), view);
         const auto state = rotation(view, config);
+        RC_ASSERT(usableSlots(view, state) == state.slotsInRotation);
         RC_ASSERT(state.slotsInRotation >= config.failingFloorSlots);
-        const auto isIn = [&](std::size_t i) {
-            const auto verdict = state.entries[i].verdict;
-            return verdict == RotationVerdict::InRotation
-                   || verdict == RotationVerdict::HeldByFloor;
-        };
-        // A slow endpoint is ejected only if the full floor remains.
+        // A slow endpoint is ejected, or limited in its trial, only if the full floor remains.
         for (std::size_t i = 0; i < view.size(); ++i) {
-            if (!view[i].failsRequests && view[i].severity > 0 && !isIn(i))
+            if (!view[i].failsRequests && view[i].severity > 0
+                && admittedSlots(view, state, i) < Slots)
                 RC_ASSERT(state.slotsInRotation >= config.floorSlots);
         }
     });
