Bound the wait in an endpoint's queue by the target latency of the route

Cause: the queue of long requests was bounded by number (two a slot) and by the deadline, and its wait was estimated with three quarters of the slots although the scheduler gives a quarter while nested calls are queued. A standing queue: the same number of requests is served, all late, also after the peak.

Ruled out: a change of class (long:1 on dispatch lines of the route), false suspicion for slowness (no such rule in the logs).

Change: the estimate uses the slots that long requests get; a request that would wait for more than half of its route's target latency is refused at once, to return when the wait has dropped. Nested calls are exempt, since their refusal wastes a run.

--- a/include/berylspur/owner/slot_scheduler.h
+++ b/include/berylspur/owner/slot_scheduler.h
@@ -27,6 +27,7 @@
     std::string route; ///< key for service time statistics
     TimePoint deadline;
     bool isNestedCall = false; ///< made by a request that runs at another endpoint
+    Duration targetLatency {}; ///< of its route; zero: none
 };
 
 /// Queue sizes, and switches for the simpler policies that benchmarks compare against.
@@ -150,9 +151,13 @@
     std::uint32_t queueBound(RequestClass requestClass, bool isNestedCall) const;
     std::uint32_t running() const;
     /// Slots that \a requestClass can use: for Short, those not occupied by long requests; for
-    /// Long, longSlotLimit().
+    /// Long, longSlotLimit(), or fewer while nested calls are queued.
     std::uint32_t slotsFor(RequestClass requestClass) const;
     Duration expectedWait(RequestClass requestClass, bool isNestedCall) const;
+    /// Reason for refusing \a request, which would join \a queue and wait for \a wait.
+    std::optional<Refusal> checkQueue(const QueuedRequest &request, const ClassQueue &queue,
+                                      RequestClass requestClass, bool isNestedCall, Duration wait,
+                                      TimePoint now) const;
     bool canStart(RequestClass requestClass, TimePoint now) const;
     /// True if the next free slot is for a long request, provided that one is queued.
     bool isLongDue(TimePoint now) const;
--- a/src/owner/slot_scheduler.cpp
+++ b/src/owner/slot_scheduler.cpp
@@ -33,6 +33,11 @@
 /// are queued.
 constexpr std::uint32_t LongSlotDivisorWhileNestedCallsWait = 4;
 
+/// A request may wait for 1 / MaxWaitDivisor of its target latency; the rest is for its run and for
+/// one return after a refusal. Without the limit, a queue that stays long through a load peak makes
+/// every request late, while the same number of requests is served.
+constexpr int MaxWaitDivisor = 2;
+
 /// Retry-after value while no service time is known, and the minimum value.
 constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(100);
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(10);
@@ -68,16 +73,9 @@
     if (request.deadline <= now)
         return Refusal {ErrorCode::NotRunDeadline, MinRetryAfter};
     if (!m_policy.unlimitedQueue) {
-        const std::uint32_t bound = queueBound(requestClass, isNestedCall);
-        const Duration retryAfter = queueOf(requestClass).meanUs == 0
-                                            ? DefaultRetryAfter
-                                            : std::max(wait, MinRetryAfter);
-        if (queue.size >= bound || exceedsFairShare(queue, request.customer, bound))
-            return Refusal {ErrorCode::NotRunQueueFull, retryAfter};
-        // A request that can start immediately is never refused because of the expected wait: the
-        // average may still include a stall that has ended.
-        if (!(queue.size == 0 && canStart(requestClass, now)) && now + wait > request.deadline)
-            return Refusal {ErrorCode::NotRunDeadline, retryAfter};
+        const auto refusal = checkQueue(request, queue, requestClass, isNestedCall, wait, now);
+        if (refusal)
+            return refusal;
     }
 
     const Index index = allocate();
@@ -104,6 +102,29 @@
     return std::nullopt;
 }
 
+std::optional<Refusal> SlotScheduler::checkQueue(const QueuedRequest &request,
+                                                 const ClassQueue &queue, RequestClass requestClass,
+                                                 bool isNestedCall, Duration wait,
+                                                 TimePoint now) const
+{
+    const std::uint32_t bound = queueBound(requestClass, isNestedCall);
+    const Duration retryAfter =
+            queueOf(requestClass).meanUs == 0 ? DefaultRetryAfter : std::max(wait, MinRetryAfter);
+    if (queue.size >= bound || exceedsFairShare(queue, request.customer, bound))
+        return Refusal {ErrorCode::NotRunQueueFull, retryAfter};
+    // A request that can start immediately is never refused because of the expected wait: the
+    // average may still include a stall that has ended.
+    if (queue.size == 0 && canStart(requestClass, now))
+        return std::nullopt;
+    if (now + wait > request.deadline)
+        return Refusal {ErrorCode::NotRunDeadline, retryAfter};
+    const Duration waitLimit = request.targetLatency / MaxWaitDivisor;
+    // The refusal of a nested call wastes the run of its parent.
+    if (!isNestedCall && request.targetLatency > Duration::zero() && wait > waitLimit)
+        return Refusal {ErrorCode::NotRunQueueFull, std::max(wait - waitLimit, MinRetryAfter)};
+    return std::nullopt;
+}
+
 std::optional<QueuedRequest> SlotScheduler::startNext(TimePoint now)
 {
     dropExpired(now);
@@ -271,7 +292,7 @@
     if (m_policy.firstComeFirstServed)
         return m_slots;
     if (requestClass == RequestClass::Long)
-        return longSlotLimit();
+        return m_nestedCalls.size > 0 ? longSlotLimitWhileNestedCallsWait() : longSlotLimit();
     return m_slots - std::min(m_slots, m_long.running);
 }
 
--- a/tests/owner_scheduler_test.cpp
+++ b/tests/owner_scheduler_test.cpp
@@ -421,3 +421,60 @@
     BOOST_TEST(longRuns == 20U);
     BOOST_TEST(callRuns == 600U);
 }
+
+// Guards against a queue that is served late as a whole: while nested calls waited, long requests
+// got a quarter of the slots, but their wait was estimated with three quarters. They waited for 5 s
+// at a target latency of 3 s, and the queue was as long after the load peak.
+BOOST_AUTO_TEST_CASE(long_requests_are_served_within_their_target_while_calls_wait)
+{
+    constexpr std::uint32_t Slots = 10;
+    constexpr Duration Step = 10ms;
+    constexpr Duration Length = 60s;
+    constexpr Duration Settled = 5s; // the first service times are known by then
+    constexpr Duration CallTime = 200ms;
+    constexpr Duration LongTime = 600ms;
+    constexpr Duration LongInterval = 200ms; // 5 a second, of which two slots serve 3.3
+    constexpr Duration Target = 3s;
+    SlotScheduler scheduler(Slots);
+    std::uint32_t number = 0;
+    std::map<std::array<std::uint8_t, 16>, TimePoint> arrivals; // of long requests, by id
+    std::vector<std::pair<TimePoint, RequestId>> running;
+    std::uint32_t longRuns = 0;
+    Duration longestWait {};
+    const auto enqueue = [&](bool isNestedCall, TimePoint now) {
+        QueuedRequest request;
+        request.id = makeId(++number);
+        request.requestClass = isNestedCall ? RequestClass::Short : RequestClass::Long;
+        request.route = isNestedCall ? "call" : "bundle";
+        request.deadline = now + 12s;
+        request.isNestedCall = isNestedCall;
+        request.targetLatency = isNestedCall ? Duration(800ms) : Target;
+        if (!isNestedCall)
+            arrivals[request.id.bytes] = now;
+        return !scheduler.enqueue(request, now).has_value();
+    };
+    const TimePoint begin(1s);
+    for (TimePoint now = begin; now < begin + Length; now += Step) {
+        std::erase_if(running, [&](const auto &entry) {
+            if (entry.first > now)
+                return false;
+            scheduler.finish(entry.second, now);
+            return true;
+        });
+        if ((now - begin) % LongInterval == Duration::zero())
+            enqueue(false, now);
+        while (enqueue(true, now)) {
+        }
+        while (const auto next = scheduler.startNext(now)) {
+            running.emplace_back(now + (next->isNestedCall ? CallTime : LongTime), next->id);
+            if (next->isNestedCall)
+                continue;
+            ++longRuns;
+            if (now > begin + Settled)
+                longestWait = std::max<Duration>(longestWait, now - arrivals.at(next->id.bytes));
+        }
+    }
+    BOOST_TEST(toMs(longestWait) <= toMs(Target - LongTime));
+    // Two slots for 60 s, less the time until the first long request.
+    BOOST_TEST(longRuns >= 195U);
+}
