Accept a response whose head arrives before its body

What callers saw: 502 or 504 for a request that the endpoint answered completely, whenever the head of a response with Content-Length arrived in a TCP segment of its own. The endpoint was counted as failing as well: one such response made it suspect under the sparse policy.

Cause: Boost 1.74 checks Content-Length against the body limit by comparing it to an optional; compared to an unset limit every length is over the limit. The error is overwritten if body bytes follow the head in the same call, which hid the fault.

Change: the limit is the largest number instead of unset. The limit of requests was set and is not affected.

Test: responses_may_arrive_in_parts failed before for a head alone ('' instead of 'abc', Broken instead of Complete).

--- a/src/owner/endpoint_connection.cpp
+++ b/src/owner/endpoint_connection.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/buffer.hpp>
 #include <charconv>
 #include <event2/buffer.h>
+#include <limits>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <utility>
@@ -93,7 +94,8 @@
 {
     m_parser.emplace();
     m_parser->header_limit(MaxHeaderBytes);
-    m_parser->body_limit(boost::none);
+    // Boost 1.74 compares a Content-Length to an unset limit as if that were 0.
+    m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
     m_parser->eager(true);
     m_parser->skip(m_call && m_call->m_isHead);
     m_isHeaderComplete = false;
--- a/tests/endpoint_client_test.cpp
+++ b/tests/endpoint_client_test.cpp
@@ -17,7 +17,8 @@
 
 enum class ConnectionAction { Keep, Close, Reset };
 
-/// Accepts connections and sends the bytes of script for each request that it receives.
+/// Accepts connections and sends the bytes of script for each request that it receives, then those
+/// of remainder at the next poll.
 class ScriptedEndpoint
 {
 public:
@@ -47,13 +48,16 @@
             fcntl(accepted, F_SETFL, O_NONBLOCK);
             m_open.push_back(accepted);
         }
-        for (std::size_t i = 0; i < m_open.size(); ++i)
+        for (std::size_t i = 0; i < m_open.size(); ++i) {
+            sendRemainder(i);
             serve(i);
+        }
         std::erase(m_open, -1);
     }
 
     Address address = freeAddress();
     std::string script;
+    std::string remainder;
     ConnectionAction action = ConnectionAction::Keep;
     int requests = 0;
     std::string received;
@@ -70,6 +74,8 @@
             return;
         ++requests;
         [[maybe_unused]] const auto sent = write(m_open[index], script.data(), script.size());
+        if (!remainder.empty())
+            m_remainderDue = m_open[index];
         if (action == ConnectionAction::Keep)
             return;
         const linger resetOnClose {1, 0};
@@ -78,8 +84,18 @@
         close(std::exchange(m_open[index], -1));
     }
 
+    void sendRemainder(std::size_t index)
+    {
+        if (m_open[index] != m_remainderDue)
+            return;
+        [[maybe_unused]] const auto sent =
+                write(m_remainderDue, remainder.data(), remainder.size());
+        m_remainderDue = -1;
+    }
+
     int m_listener;
     std::vector<int> m_open;
+    int m_remainderDue = -1; // connection that remainder is to be sent on
 };
 
 struct Outcome
@@ -193,6 +209,20 @@
     BOOST_TEST(client.opened() == (response.isReused ? 1U : 2U));
 }
 
+// Guards against a response that fails because its head arrives before its body.
+BOOST_DATA_TEST_CASE_F(Fixture, responses_may_arrive_in_parts,
+                       data::make({"Content-Length: 3\r\n\r\n", "Content-Length: 3\r\n\r\na",
+                                   "Content-Length: 3\r\n\r"}),
+                       firstPart)
+{
+    const std::string whole = "Content-Length: 3\r\n\r\nabc";
+    endpoint.script = Ok + firstPart;
+    endpoint.remainder = whole.substr(std::string(firstPart).size());
+    const auto outcome = call(get());
+    BOOST_TEST((outcome.end == CallResult::Complete));
+    BOOST_TEST(outcome.body == "abc");
+}
+
 // Guards against a failed connect that is not reported as ConnectFailed, the only result that
 // implies that no request was sent.
 BOOST_FIXTURE_TEST_CASE(refused_connection_is_reported_as_connect_failed, Fixture)
