End responses with a part that has no end

A node on a machine of 160 MB is ended that way by one endpoint.

Cause: the parser takes a chunk header, and the last chunk with its trailers, only as a whole. It has no limit for either, the connection passed it all buffered input, and the input buffer had none. Interim responses, responses to other requests and their bodies were skipped without a bound.

Change: ResponseReader (no I/O) reads the responses of a connection and is given at most 64 KiB at a time; a part that does not fit ends the call as broken, which counts as a failure of the endpoint, and is logged once with the part and the address. The input buffer pauses the socket at 128 KiB.

--- a/src/owner/endpoint_connection.cpp
+++ b/src/owner/endpoint_connection.cpp
@@ -1,20 +1,18 @@
-// Request serialization and response parsing (Boost.Beast) on a connection to an endpoint.
+// Sends requests and passes on responses on a connection to an endpoint.
 #include "endpoint_connection.h"
 
+#include "berylspur/core/enum_table.h"
 #include "berylspur/core/log.h"
 
-#include <boost/asio/buffer.hpp>
+#include <algorithm>
 #include <charconv>
 #include <event2/buffer.h>
-#include <limits>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <utility>
 
 namespace berylspur {
 
-namespace http = boost::beast::http;
-
 namespace {
 
 /// The endpoint is on this host, so a connect that takes longer has failed.
@@ -27,7 +25,16 @@
 /// Subtracted from the keep-alive timeout, so that no request is sent while the endpoint closes the
 /// connection.
 constexpr Duration KeepAliveMargin = std::chrono::seconds(2);
-constexpr std::uint32_t MaxHeaderBytes = 64u << 10;
+/// Reading from the socket pauses while more input than this is buffered.
+constexpr std::size_t MaxBufferedInputBytes = 2 * ResponseReader::MaxPartBytes;
+
+constexpr EnumTable<ResponsePart, 5> PartNames {{
+        {ResponsePart::Head, "head"},
+        {ResponsePart::ChunkHeader, "chunk-header"},
+        {ResponsePart::Trailers, "trailers"},
+        {ResponsePart::InterimResponses, "interim-responses"},
+        {ResponsePart::OtherResponses, "other-responses"},
+}};
 
 /// Returns N of "timeout=N" in a Keep-Alive header.
 std::optional<Duration> parseKeepAliveTimeout(std::string_view value)
@@ -59,6 +66,7 @@
       m_keepAlive(DefaultKeepAlive)
 {
     bufferevent_setcb(m_events, onRead, nullptr, onEvent, this);
+    bufferevent_setwatermark(m_events, EV_READ, 0, MaxBufferedInputBytes);
     const auto target = address.toSockaddr();
     bufferevent_enable(m_events, EV_READ | EV_WRITE);
     m_connectTimer.start(ConnectTimeout);
@@ -78,7 +86,7 @@
 void EndpointConnection::begin(EndpointCall &call, const CallRequest &request)
 {
     m_call = &call;
-    resetParser();
+    m_reader.emplace(ExpectedResponse {call.m_isHead, call.m_echoHeader, call.m_echoValue});
     std::string text = request.method + " " + request.target + " HTTP/1.1\r\n";
     if (headerValue(request.headers, "Host").empty())
         text.append("Host: ").append(m_client.address().toString()).append("\r\n");
@@ -90,18 +98,6 @@
     bufferevent_write(m_events, text.data(), text.size());
 }
 
-void EndpointConnection::resetParser()
-{
-    m_parser.emplace();
-    m_parser->header_limit(MaxHeaderBytes);
-    // Boost 1.74 compares a Content-Length to an unset limit as if that were 0.
-    m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-    m_parser->eager(true);
-    m_parser->skip(m_call && m_call->m_isHead);
-    m_isHeaderComplete = false;
-    m_isSkippingResponse = false;
-}
-
 void EndpointConnection::cancel()
 {
     m_call = nullptr;
@@ -140,85 +136,60 @@
 {
     auto *input = bufferevent_get_input(m_events);
     while (m_call) {
-        const auto length = evbuffer_get_length(input);
-        if (length == 0)
-            return;
-        const auto *bytes = evbuffer_pullup(input, -1);
-        boost::system::error_code error;
-        const auto used = m_parser->put(boost::asio::buffer(bytes, length), error);
+        const auto length = std::min(evbuffer_get_length(input), ResponseReader::MaxPartBytes);
+        const auto *bytes = evbuffer_pullup(input, static_cast<ev_ssize_t>(length));
+        std::string_view rest(reinterpret_cast<const char *>(bytes), length);
+        auto event = m_reader->next(rest);
+        const auto used = length - rest.size();
         evbuffer_drain(input, used);
-        if (error && error != http::error::need_more) {
-            log::warn("endpoint-response-malformed", {{"reason", error.message()}});
-            finish(CallResult::Broken, false);
-            return;
-        }
-        if (m_parser->is_header_done() && !m_isHeaderComplete && !onHeaderComplete())
-            return;
-        if (m_isHeaderComplete && !forwardBody())
-            return;
-        if (m_parser->is_done()) {
-            onResponseComplete();
-            continue;
-        }
-        if (used == 0)
+        if (std::holds_alternative<InputNeeded>(event) && used == 0)
             return;
+        std::visit([this](auto &part) { handle(part); }, event);
     }
     // Data without a pending request is a protocol violation.
     if (evbuffer_get_length(input) > 0)
         m_client.discard(this);
 }
 
-bool EndpointConnection::onHeaderComplete()
+void EndpointConnection::handle(ResponseHead &head)
 {
-    constexpr unsigned FirstFinal = 200;
-    const auto &message = m_parser->get();
-    m_isHeaderComplete = true;
-    if (message.result_int() < FirstFinal) {
-        m_isSkippingResponse = true; // an interim response
-        return true;
-    }
-    const auto name = boost::string_view(m_call->m_echoHeader.data(), m_call->m_echoHeader.size());
-    const auto echo = m_call->m_echoHeader.empty() ? message.end() : message.find(name);
-    if (echo != message.end()
-        && std::string_view(echo->value().data(), echo->value().size()) != m_call->m_echoValue) {
-        log::warn("response-of-another-request",
-                  {{"expected", m_call->m_echoValue}, {"got", std::string(echo->value())}});
-        m_isSkippingResponse = true;
-        return true;
-    }
-    const auto keepAlive = message[http::field::keep_alive];
-    if (const auto stated = parseKeepAliveTimeout({keepAlive.data(), keepAlive.size()})) {
+    const auto keepAlive = headerValue(head.headers, "Keep-Alive");
+    if (const auto stated = parseKeepAliveTimeout(keepAlive)) {
         m_hasServerKeepAlive = true;
         m_keepAlive = std::max(*stated - KeepAliveMargin, Duration::zero());
     }
-    HeaderList headers;
-    for (const auto &field : message)
-        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
     if (m_call->m_handler.headers)
-        m_call->m_handler.headers(message.result_int(), std::move(headers));
-    return m_call != nullptr;
+        m_call->m_handler.headers(head.status, std::move(head.headers));
 }
 
-bool EndpointConnection::forwardBody()
+void EndpointConnection::handle(const ResponseBody &body)
 {
-    auto &body = m_parser->get().body();
-    if (body.empty())
-        return true;
-    const auto bytes = std::exchange(body, {});
-    if (!m_isSkippingResponse && m_call->m_handler.data)
-        m_call->m_handler.data(bytes);
-    return m_call != nullptr;
+    if (m_call->m_handler.data)
+        m_call->m_handler.data(body.bytes);
 }
 
-void EndpointConnection::onResponseComplete()
+void EndpointConnection::handle(const OtherResponse &response)
+{
+    log::warn("response-of-another-request",
+              {{"expected", m_call->m_echoValue}, {"got", response.echoValue}});
+}
+
+void EndpointConnection::handle(const ResponseEnd &end)
 {
-    if (m_isSkippingResponse) {
-        resetParser();
-        return;
-    }
     const bool isRequestSent = evbuffer_get_length(bufferevent_get_output(m_events)) == 0;
     const bool isInputEmpty = evbuffer_get_length(bufferevent_get_input(m_events)) == 0;
-    finish(CallResult::Complete, m_parser->get().keep_alive() && isRequestSent && isInputEmpty);
+    finish(CallResult::Complete, end.keepAlive && isRequestSent && isInputEmpty);
+}
+
+void EndpointConnection::handle(const ResponseError &error)
+{
+    if (error.oversizedPart)
+        log::warn("endpoint-response-over-limit",
+                  {{"endpoint-address", m_client.address().toString()},
+                   {"part", enumName(PartNames, *error.oversizedPart)}});
+    else
+        log::warn("endpoint-response-malformed", {{"reason", error.reason}});
+    finish(CallResult::Broken, false);
 }
 
 void EndpointConnection::onEvent(bufferevent *, short events, void *self)
@@ -244,15 +215,8 @@
         return;
     }
     // A body without a length is delimited by the close of the connection. A reset truncates it.
-    if ((events & BEV_EVENT_EOF) && m_isHeaderComplete && !m_isSkippingResponse) {
-        boost::system::error_code error;
-        m_parser->put_eof(error);
-        if (!error && m_parser->is_done()) {
-            finish(CallResult::Complete, false);
-            return;
-        }
-    }
-    finish(CallResult::Broken, false);
+    const bool isComplete = (events & BEV_EVENT_EOF) && m_reader->isCompleteAtClose();
+    finish(isComplete ? CallResult::Complete : CallResult::Broken, false);
 }
 
 void EndpointConnection::finish(CallResult end, bool reusable)
--- a/src/owner/endpoint_connection.h
+++ b/src/owner/endpoint_connection.h
@@ -2,9 +2,8 @@
 #pragma once
 
 #include "endpoint_client.h"
+#include "response_reader.h"
 
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <event2/bufferevent.h>
 #include <optional>
 
@@ -32,18 +31,17 @@
     bool isUsable(bool fresh, TimePoint now) const;
 
 private:
-    using Parser = boost::beast::http::response_parser<boost::beast::http::string_body>;
-
     static void onRead(bufferevent *, void *self);
     static void onEvent(bufferevent *, short events, void *self);
 
     void read();
-    /// Handles the parsed status and headers. Returns false if the call ended.
-    bool onHeaderComplete();
-    /// Passes the parsed body bytes to the call. Returns false if the call ended.
-    bool forwardBody();
-    void onResponseComplete();
-    void resetParser();
+    // Each may end the call.
+    void handle(const InputNeeded &) { }
+    void handle(ResponseHead &head);
+    void handle(const ResponseBody &body);
+    void handle(const OtherResponse &response);
+    void handle(const ResponseEnd &end);
+    void handle(const ResponseError &error);
     void ended(short events);
     void finish(CallResult end, bool reusable);
 
@@ -51,10 +49,8 @@
     bufferevent *m_events;
     Timer m_connectTimer;
     EndpointCall *m_call = nullptr;
-    std::optional<Parser> m_parser;
+    std::optional<ResponseReader> m_reader; // set once a call began
     bool m_isConnected = false;
-    bool m_isHeaderComplete = false;
-    bool m_isSkippingResponse = false; // interim response, or response to an earlier request
     TimePoint m_idleSince;
     Duration m_keepAlive; // idle time after which the endpoint may close
     bool m_hasServerKeepAlive = false;
--- a/tests/endpoint_client_test.cpp
+++ b/tests/endpoint_client_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <cerrno>
 #include <fcntl.h>
 #include <optional>
 #include <ostream>
@@ -18,7 +19,7 @@
 enum class ConnectionAction { Keep, Close, Reset };
 
 /// Accepts connections and sends the bytes of script for each request that it receives, then those
-/// of remainder at the next poll.
+/// of remainder at the next poll. Repeats the bytes of endless as fast as they are read.
 class ScriptedEndpoint
 {
 public:
@@ -50,6 +51,7 @@
         }
         for (std::size_t i = 0; i < m_open.size(); ++i) {
             sendRemainder(i);
+            sendEndless(i);
             serve(i);
         }
         std::erase(m_open, -1);
@@ -58,9 +60,11 @@
     Address address = freeAddress();
     std::string script;
     std::string remainder;
+    std::string endless;
     ConnectionAction action = ConnectionAction::Keep;
     int requests = 0;
     std::string received;
+    std::size_t openConnections() const { return m_open.size(); }
 
 private:
     void serve(std::size_t index)
@@ -93,8 +97,29 @@
         m_remainderDue = -1;
     }
 
+    void sendEndless(std::size_t index)
+    {
+        constexpr std::size_t PieceBytes = 64u << 10;
+        if (endless.empty() || requests == 0)
+            return;
+        std::string piece;
+        while (piece.size() < PieceBytes + endless.size())
+            piece += endless;
+        while (m_open[index] >= 0) {
+            const char *next = piece.data() + m_endlessSent % endless.size();
+            const auto sent = ::send(m_open[index], next, PieceBytes, MSG_NOSIGNAL);
+            if (sent < 0) {
+                if (errno != EAGAIN)
+                    close(std::exchange(m_open[index], -1));
+                return;
+            }
+            m_endlessSent += static_cast<std::size_t>(sent);
+        }
+    }
+
     int m_listener;
     std::vector<int> m_open;
+    std::size_t m_endlessSent = 0;
     int m_remainderDue = -1; // connection that remainder is to be sent on
 };
 
@@ -280,3 +305,71 @@
     BOOST_TEST((call(get()).end == CallResult::Complete));
     BOOST_TEST(client.opened() == 2U);
 }
+
+namespace {
+
+struct EndlessCase
+{
+    const char *name;
+    std::string script;
+    std::string endless;
+};
+
+std::ostream &operator<<(std::ostream &out, const EndlessCase &endless)
+{
+    return out << endless.name;
+}
+
+const std::string Chunked = Ok + "Transfer-Encoding: chunked\r\n\r\n";
+
+const std::vector<EndlessCase> EndlessParts {
+        {"field value", Ok + "X-A: ", "a"},
+        {"chunk size", Chunked, "0"},
+        {"chunk extension", Chunked + "3;a=", "b"},
+        {"trailer value", Chunked + "0\r\nX-A: ", "b"},
+};
+
+const std::vector<EndlessCase> EndlessBodies {
+        {"no length", Ok + "\r\n", "a"},
+        {"chunks", Chunked, "1\r\na\r\n"},
+};
+
+} // namespace
+
+// Guards against a call that never ends, and memory that is filled, by a part without end.
+BOOST_DATA_TEST_CASE_F(Fixture, part_without_end_breaks_the_call, data::make(EndlessParts), endless)
+{
+    endpoint.script = endless.script;
+    endpoint.endless = endless.endless;
+    BOOST_TEST((call(get()).end == CallResult::Broken));
+    BOOST_TEST(loop.runUntil([&] {
+        endpoint.poll();
+        return endpoint.openConnections() == 0;
+    }));
+}
+
+// Guards against a connection that stays open after its call was cancelled, while bytes arrive as
+// fast as they are read.
+BOOST_DATA_TEST_CASE_F(Fixture, cancelled_call_ends_a_body_without_end, data::make(EndlessBodies),
+                       endless)
+{
+    constexpr std::size_t ReadBytes = 4u << 20;
+    constexpr Duration CloseTime = std::chrono::milliseconds(500);
+    endpoint.script = endless.script;
+    endpoint.endless = endless.endless;
+    std::size_t read = 0;
+    CallHandler handler;
+    handler.data = [&read](std::string_view bytes) { read += bytes.size(); };
+    auto running = client.start(get(), std::move(handler));
+    BOOST_TEST(loop.runUntil([&] {
+        endpoint.poll();
+        return read >= ReadBytes;
+    }));
+    running.reset();
+    const auto cancelled = BootClock::now();
+    BOOST_TEST(loop.runUntil([&] {
+        endpoint.poll();
+        return endpoint.openConnections() == 0;
+    }));
+    BOOST_TEST(toMs(BootClock::now() - cancelled) < toMs(CloseTime));
+}
