Keep trailers of a request out of its headers

What callers could do: send a header as a trailer that a stricter hop in front removes, for example Idempotency-Key, a deadline, the caller's service or Host; a request without Host whose trailer had one was routed and ran.

Cause: the parser adds trailers to the fields of the message, and the headers were taken after the body.

Change: the headers are taken when the head is complete; trailers are dropped. Checks of the head move into checkHead().

Tests: trailers_are_not_headers, with each header that the gate acts on, and the row 'trailer with a host'.

--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -50,6 +50,14 @@
     return false;
 }
 
+HeaderList headersOf(const http::fields &fields)
+{
+    HeaderList headers;
+    for (const auto &field : fields)
+        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+    return headers;
+}
+
 std::string chunkHeader(std::size_t size)
 {
     std::array<char, 2 * sizeof size> digits {};
@@ -131,17 +139,18 @@
     m_parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes) + 1);
     m_parser->body_limit(limits.maxBodyBytes);
     boost::system::error_code error;
-    const bool folded = hasFoldedLine(head);
     m_parser->put(boost::asio::buffer(head.data(), head.size()), error);
+    m_headers = headersOf(m_parser->get());
+    const auto checked = checkHead(head);
     evbuffer_drain(input, size);
-    if (folded) {
-        fail(ErrorCode::RequestMalformed, "folded header line");
-        return false;
-    }
     if (error && error != http::error::need_more) {
         fail(errorCodeFor(error), error.message());
         return false;
     }
+    if (!checked) {
+        fail(checked.error().code, checked.error().detail);
+        return false;
+    }
     const auto &message = m_parser->get();
     m_isHead = message.method() == http::verb::head;
     m_isHttp10 = message.version() < 11;
@@ -153,6 +162,13 @@
     return true;
 }
 
+Result<void> CallerConnection::checkHead(std::string_view head) const
+{
+    if (hasFoldedLine(head))
+        return failure(ErrorCode::RequestMalformed, "folded header line");
+    return success();
+}
+
 void CallerConnection::readBody()
 {
     auto *input = bufferevent_get_input(m_events);
@@ -183,22 +199,14 @@
     deliverRequest({code, detail});
 }
 
-HeaderList CallerConnection::requestHeaders() const
-{
-    HeaderList headers;
-    for (const auto &field : m_parser->get())
-        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    return headers;
-}
-
 void CallerConnection::deliverRequest(Error error)
 {
     m_timer.stop();
     m_state = State::Responding;
     auto &message = m_parser->get();
-    auto request = std::make_unique<CallerRequest>(this, std::string(message.method_string()),
-                                                   std::string(message.target()), requestHeaders(),
-                                                   std::move(message.body()), std::move(error));
+    auto request = std::make_unique<CallerRequest>(
+            this, std::string(message.method_string()), std::string(message.target()),
+            std::exchange(m_headers, {}), std::move(message.body()), std::move(error));
     m_request = request.get();
     m_parser.reset();
     m_server.m_handler(std::move(request));
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -40,9 +40,10 @@
     void read();
     bool readHead();
     void readBody();
+    /// Checks what the parser does not reject. Fails with a 3xxx code.
+    Result<void> checkHead(std::string_view head) const;
     void fail(ErrorCode code, const std::string &detail);
     void deliverRequest(Error error);
-    HeaderList requestHeaders() const;
     void enterIdle();
     void onTimeout();
     void onFlushed();
@@ -57,6 +58,7 @@
     Timer m_nextRequestTimer;
     State m_state = State::Idle;
     std::optional<Parser> m_parser;
+    HeaderList m_headers; // of the request that is being read, without trailers
     CallerRequest *m_request = nullptr; // the open request, owned by the server's handler
     Framing m_framing = Framing::NoBody;
     std::uint64_t m_remainingLength = 0; // body bytes left of Content-Length
--- a/tests/http_caller_test.cpp
+++ b/tests/http_caller_test.cpp
@@ -139,8 +139,23 @@
          ErrorCode::RequestHeadersTooLarge},
         {"body over the limit", Post + "Content-Length: 3000000\r\n\r\n",
          ErrorCode::RequestBodyTooLarge},
+        {"trailer with a host",
+         "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nHost: h\r\n\r\n",
+         ErrorCode::RequestMalformed},
 };
 
+/// Headers that the gate acts on.
+const std::vector<std::string> GateHeaders {"Host",
+                                            "Connection",
+                                            "Berylspur-Deadline-Ms",
+                                            "Berylspur-Customer",
+                                            "Berylspur-Request-Id",
+                                            "Idempotency-Key",
+                                            "X-Request-Id",
+                                            "X-Deadline-Ms",
+                                            "X-Caller-Service",
+                                            "X-Target-Instance"};
+
 } // namespace
 
 // Guards against malformed or ambiguous requests that reach an endpoint, and against valid ones
@@ -156,6 +171,18 @@
         BOOST_TEST(loop.runUntil([&] { return !caller.read(); }));
 }
 
+// Guards against a trailer that poses as a header which a hop in front has removed.
+BOOST_DATA_TEST_CASE_F(Fixture, trailers_are_not_headers, data::make(GateHeaders), name)
+{
+    RawCaller caller(address);
+    caller.send(Post + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n" + name
+                + ": forged\r\n\r\n");
+    BOOST_TEST(waitFor(caller, "Code: Ok\r\n"), caller.received);
+    BOOST_TEST(requests.size() == 1U);
+    BOOST_TEST(requests.front()->header(name) == (name == "Host" ? "h" : ""));
+    BOOST_TEST(requests.front()->takeBody() == "abc");
+}
+
 // Guards against responses in the wrong order when requests are pipelined.
 BOOST_FIXTURE_TEST_CASE(pipelined_requests_are_answered_in_order, Fixture)
 {
