Refuse chunk headers and trailers of a request that have no end

What callers saw: a connection that sends an endless chunk size, chunk extension or trailer was held for the idle timeout (60 s), with its input buffer full.

Cause: the parser takes a chunk header and the trailers only as a whole and has no limit for either.

Change: the body is parsed with parseBounded(), as responses of endpoints are; the limit is that of the head. Trailers over it get 431, a chunk header 400, and the connection is closed.

--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -2,6 +2,7 @@
 #include "caller_connection.h"
 
 #include "berylspur/core/log.h"
+#include "berylspur/http/bounded_parse.h"
 
 #include <algorithm>
 #include <array>
@@ -174,18 +175,21 @@
     auto *input = bufferevent_get_input(m_events);
     setTimer(m_server.limits().idleTimeout);
     while (!m_parser->is_done()) {
-        const auto length = evbuffer_get_length(input);
-        if (length == 0)
+        const auto length = std::min(evbuffer_get_length(input), m_server.limits().maxHeaderBytes);
+        const auto *bytes = evbuffer_pullup(input, static_cast<ev_ssize_t>(length));
+        const std::string_view window(reinterpret_cast<const char *>(bytes), length);
+        if (window.empty())
             return;
-        const auto *bytes = evbuffer_pullup(input, -1);
-        boost::system::error_code error;
-        const auto used = m_parser->put(boost::asio::buffer(bytes, length), error);
-        evbuffer_drain(input, used);
-        if (error && error != http::error::need_more) {
-            fail(errorCodeFor(error), error.message());
-            return;
-        }
-        if (error == http::error::need_more && used == 0)
+        const auto step = parseBounded(*m_parser, window, m_server.limits().maxHeaderBytes);
+        const bool isTrailer = step.isOverLimit && hasCompleteChunkHeader(window);
+        evbuffer_drain(input, step.used);
+        if (step.error)
+            fail(errorCodeFor(step.error), step.error.message());
+        else if (isTrailer)
+            fail(ErrorCode::RequestHeadersTooLarge, "trailers over the limit");
+        else if (step.isOverLimit)
+            fail(ErrorCode::RequestAmbiguousFraming, "chunk header over the limit");
+        if (m_state != State::ReadingBody || step.used == 0)
             return;
     }
     deliverRequest({});
