Refuse a head with bare line feeds at once

What callers saw: no answer to a head whose lines end with line feeds alone until the header timeout (10 s). Other HTTP implementations take it as complete, so the bytes behind it may be another request to a hop in front.

Change: 400 as soon as such a line has arrived; the connection is closed.

--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -51,6 +51,18 @@
     return false;
 }
 
+/// True if a line of \a head ends with a line feed alone. Such a head has no end for this parser,
+/// while other HTTP implementations take it as a complete request.
+bool hasBareLineFeed(std::string_view head)
+{
+    for (auto end = head.find('\n'); end != std::string_view::npos;
+         end = head.find('\n', end + 1)) {
+        if (end == 0 || head[end - 1] != '\r')
+            return true;
+    }
+    return false;
+}
+
 HeaderList headersOf(const http::fields &fields)
 {
     HeaderList headers;
@@ -124,8 +136,11 @@
     const auto length = evbuffer_get_length(input);
     const auto end = evbuffer_search(input, HeadTerminator.data(), HeadTerminator.size(), nullptr);
     if (end.pos < 0) {
+        const auto *bytes = evbuffer_pullup(input, -1);
         if (length > limits.maxHeaderBytes)
             fail(ErrorCode::RequestHeadersTooLarge, "incomplete head over the limit");
+        else if (hasBareLineFeed({reinterpret_cast<const char *>(bytes), length}))
+            fail(ErrorCode::RequestMalformed, "line feed without carriage return");
         return false;
     }
     const auto size = static_cast<std::size_t>(end.pos) + HeadTerminator.size();
@@ -165,6 +180,8 @@
 
 Result<void> CallerConnection::checkHead(std::string_view head) const
 {
+    if (hasBareLineFeed(head))
+        return failure(ErrorCode::RequestMalformed, "line feed without carriage return");
     if (hasFoldedLine(head))
         return failure(ErrorCode::RequestMalformed, "folded header line");
     return success();
