Refuse transfer codings that are not implemented

What callers could do: with 'Transfer-Encoding: xchunked', 'chunked, gzip' or an empty coding a request ran without its body, and the body bytes were read as the next request: a way to smuggle requests past a hop in front. With 'gzip, chunked' the endpoint got a coded body without its coding.

Cause: the parser takes any coding but a final chunked as no coding.

Change: transferCoding() evaluates all Transfer-Encoding headers. Framing in doubt (chunked not final or twice, beside a Content-Length, before HTTP/1.1) gets 400, another coding before a final chunked 501 with the new code RequestCodingNotSupported (3008); the connection is closed. A response with such a coding is broken.

--- a/include/berylspur/core/error_code.h
+++ b/include/berylspur/core/error_code.h
@@ -34,6 +34,7 @@
     RequestHeadersTooLarge = 3005,
     RequestMethodNotAllowed = 3006,
     RequestTimeout = 3007,
+    RequestCodingNotSupported = 3008,
 
     NotRunNoEndpoint = 4001,
     NotRunQueueFull = 4002,
--- a/src/core/error_code.cpp
+++ b/src/core/error_code.cpp
@@ -48,6 +48,8 @@
         {ErrorCode::RequestMethodNotAllowed, "RequestMethodNotAllowed",
          "the route does not allow the method"},
         {ErrorCode::RequestTimeout, "RequestTimeout", "the request did not arrive in time"},
+        {ErrorCode::RequestCodingNotSupported, "RequestCodingNotSupported",
+         "the request body has a transfer coding other than chunked"},
         {ErrorCode::NotRunNoEndpoint, "NotRunNoEndpoint",
          "no endpoint of the service is in rotation"},
         {ErrorCode::NotRunQueueFull, "NotRunQueueFull", "the queue of the endpoint is full"},
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -36,6 +36,8 @@
         return 413;
     case ErrorCode::RequestHeadersTooLarge:
         return 431;
+    case ErrorCode::RequestCodingNotSupported:
+        return 501;
     case ErrorCode::NotRunCustomerLimit:
     case ErrorCode::NotRunConcurrencyLimit:
         return StatusTooManyRequests;
--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -3,6 +3,7 @@
 
 #include "berylspur/core/log.h"
 #include "berylspur/http/bounded_parse.h"
+#include "berylspur/http/transfer_coding.h"
 
 #include <algorithm>
 #include <array>
@@ -180,11 +181,21 @@
 
 Result<void> CallerConnection::checkHead(std::string_view head) const
 {
+    constexpr unsigned FirstHttp11Version = 11;
     if (hasBareLineFeed(head))
         return failure(ErrorCode::RequestMalformed, "line feed without carriage return");
     if (hasFoldedLine(head))
         return failure(ErrorCode::RequestMalformed, "folded header line");
-    return success();
+    switch (transferCoding(m_headers, m_parser->get().version() >= FirstHttp11Version)) {
+    case TransferCoding::None:
+    case TransferCoding::Chunked:
+        return success();
+    case TransferCoding::Unsupported:
+        return failure(ErrorCode::RequestCodingNotSupported, "coding before chunked");
+    case TransferCoding::Ambiguous:
+        break;
+    }
+    return failure(ErrorCode::RequestAmbiguousFraming, "ambiguous transfer coding");
 }
 
 void CallerConnection::readBody()
--- a/src/owner/response_reader.cpp
+++ b/src/owner/response_reader.cpp
@@ -1,6 +1,8 @@
 // Response parsing with Boost.Beast, and limits of what the endpoint may send.
 #include "response_reader.h"
 
+#include "berylspur/http/transfer_coding.h"
+
 #include <limits>
 #include <utility>
 
@@ -11,6 +13,7 @@
 namespace {
 
 constexpr unsigned FirstFinalStatus = 200;
+constexpr unsigned FirstHttp11Version = 11;
 
 HeaderList headersOf(const http::fields &fields)
 {
@@ -108,6 +111,9 @@
         return std::nullopt;
     }
     auto headers = headersOf(message);
+    const auto coding = transferCoding(headers, message.version() >= FirstHttp11Version);
+    if (coding != TransferCoding::None && coding != TransferCoding::Chunked)
+        return ResponseError {"unsupported transfer coding", std::nullopt};
     if (auto echoValue = otherEchoValue()) {
         m_isSkipping = true;
         if (++m_otherResponses > MaxOtherResponses)
--- a/tests/endpoint_client_test.cpp
+++ b/tests/endpoint_client_test.cpp
@@ -213,6 +213,11 @@
          ConnectionAction::Keep, CallResult::Complete, "abc", true},
         {"only a late response", OtherResponse, ConnectionAction::Close, CallResult::Broken, "",
          false},
+        {"unknown coding", Ok + "Transfer-Encoding: xchunked\r\n\r\nabc", ConnectionAction::Close,
+         CallResult::Broken, "", false},
+        {"coding before chunked",
+         Ok + "Transfer-Encoding: gzip, chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+         ConnectionAction::Keep, CallResult::Broken, "", false},
         {"interim response", "HTTP/1.1 103 Hints\r\n\r\n" + Ok + "Content-Length: 3\r\n\r\nabc",
          ConnectionAction::Keep, CallResult::Complete, "abc", true},
 };
