--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -2,6 +2,7 @@
 #include "caller_connection.h"
 
 #include "berylspur/core/log.h"
+#include "berylspur/http/beast_headers.h"
 #include "berylspur/http/bounded_parse.h"
 #include "berylspur/http/transfer_coding.h"
 
@@ -64,14 +65,6 @@
     return false;
 }
 
-HeaderList headersOf(const http::fields &fields)
-{
-    HeaderList headers;
-    for (const auto &field : fields)
-        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    return headers;
-}
-
 std::string chunkHeader(std::size_t size)
 {
     std::array<char, 2 * sizeof size> digits {};
--- a/src/owner/response_reader.cpp
+++ b/src/owner/response_reader.cpp
@@ -1,6 +1,7 @@
 // Response parsing with Boost.Beast, and limits of what the endpoint may send.
 #include "response_reader.h"
 
+#include "berylspur/http/beast_headers.h"
 #include "berylspur/http/transfer_coding.h"
 
 #include <limits>
@@ -15,14 +16,6 @@
 constexpr unsigned FirstFinalStatus = 200;
 constexpr unsigned FirstHttp11Version = 11;
 
-HeaderList headersOf(const http::fields &fields)
-{
-    HeaderList headers;
-    for (const auto &field : fields)
-        headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
-    return headers;
-}
-
 ResponseError oversizedPart(ResponsePart part)
 {
     return {"over the limit", part};
