--- a/tests/http_caller_test.cpp
+++ b/tests/http_caller_test.cpp
@@ -2,11 +2,10 @@
 #define BOOST_TEST_MODULE http_caller
 #include "berylspur/http/caller_server.h"
 #include "loop.h"
+#include "raw_caller.h"
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
-#include <cerrno>
-#include <fcntl.h>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -17,47 +16,6 @@
 
 namespace {
 
-/// Client connection that sends and receives raw bytes.
-class RawCaller
-{
-public:
-    explicit RawCaller(const Address &server) : m_fd(socket(AF_INET, SOCK_STREAM, 0))
-    {
-        const auto address = server.toSockaddr();
-        connect(m_fd, reinterpret_cast<const sockaddr *>(&address), sizeof address);
-        fcntl(m_fd, F_SETFL, O_NONBLOCK);
-    }
-    ~RawCaller() { disconnect(); }
-    RawCaller(const RawCaller &) = delete;
-    RawCaller &operator=(const RawCaller &) = delete;
-
-    void send(const std::string &bytes) const { write(m_fd, bytes.data(), bytes.size()); }
-    void disconnect()
-    {
-        if (m_fd >= 0)
-            close(m_fd);
-        m_fd = -1;
-    }
-    /// Reads available input. Returns false once the connection is closed.
-    bool read()
-    {
-        char buffer[4096];
-        const auto got = recv(m_fd, buffer, sizeof buffer, 0);
-        if (got > 0)
-            received.append(buffer, static_cast<std::size_t>(got));
-        wasReset = wasReset || (got < 0 && errno == ECONNRESET);
-        ended = ended || got == 0 || wasReset;
-        return !ended;
-    }
-
-    std::string received;
-    bool ended = false;
-    bool wasReset = false;
-
-private:
-    int m_fd;
-};
-
 struct Fixture
 {
     Fixture()
