Refuse heartbeats and announcements with a part that has no end

What endpoints could do: an endpoint whose heartbeat or announcement has an endless chunk header or trailer, or head, kept its connection open, and the node kept all of it in memory.

Cause: both servers ran on evhttp, which limits the body only.

Change: both use CallerServer, which bounds the head, the chunk headers, the trailers and the body and closes the connection. The status codes of invalid requests move from the gate to http/request_status.h, since three servers use them now.

--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -2,6 +2,7 @@
 #include "gate_request.h"
 
 #include "berylspur/core/log.h"
+#include "berylspur/http/request_status.h"
 #include "berylspur/record/decision_logging.h"
 #include "berylspur/routing/placement.h"
 #include "berylspur/routing/placement_retry.h"
@@ -25,19 +26,13 @@
     switch (code) {
     case ErrorCode::RequestMalformed:
     case ErrorCode::RequestAmbiguousFraming:
-        return 400;
     case ErrorCode::RequestUnknownRoute:
-        return 404;
     case ErrorCode::RequestMethodNotAllowed:
-        return 405;
     case ErrorCode::RequestTimeout:
-        return 408;
     case ErrorCode::RequestBodyTooLarge:
-        return 413;
     case ErrorCode::RequestHeadersTooLarge:
-        return 431;
     case ErrorCode::RequestCodingNotSupported:
-        return 501;
+        return statusOfInvalidRequest(code);
     case ErrorCode::NotRunCustomerLimit:
     case ErrorCode::NotRunConcurrencyLimit:
         return StatusTooManyRequests;
--- a/src/owner/announce_server.cpp
+++ b/src/owner/announce_server.cpp
@@ -2,8 +2,9 @@
 #include "announce_server.h"
 
 #include "berylspur/core/enum_table.h"
+#include "berylspur/core/log.h"
+#include "berylspur/http/request_status.h"
 
-#include <event2/buffer.h>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -19,12 +20,14 @@
 constexpr std::size_t MaxAnnouncementBytes = 4096;
 constexpr std::uint32_t MaxSlots = 1000;
 
-std::string readBody(evhttp_request *request)
+constexpr std::string_view AnnouncePath = "/announce";
+
+/// Refuses \a request with the status of \a error and closes its connection.
+void refuse(CallerRequest &request, const Error &error)
 {
-    auto *buffer = evhttp_request_get_input_buffer(request);
-    std::string body(evbuffer_get_length(buffer), '\0');
-    evbuffer_remove(buffer, body.data(), body.size());
-    return body;
+    log::warn("announcement-refused", {{"reason", describe(error)}});
+    request.closeAfterResponse();
+    request.respond(statusOfInvalidRequest(error.code), {}, describe(error));
 }
 
 } // namespace
@@ -55,38 +58,33 @@
 }
 
 AnnounceServer::AnnounceServer(event_base *base, std::string node, Handler handler)
-    : m_http(evhttp_new(base)), m_node(std::move(node)), m_handler(std::move(handler))
+    : m_node(std::move(node)), m_handler(std::move(handler)),
+      m_http(base, [this](const auto &request) { handle(*request); })
 {
-    evhttp_set_max_body_size(m_http, MaxAnnouncementBytes);
-    evhttp_set_cb(m_http, "/announce", onRequest, this);
-}
-
-AnnounceServer::~AnnounceServer()
-{
-    evhttp_free(m_http);
+    CallerLimits limits;
+    limits.maxBodyBytes = MaxAnnouncementBytes;
+    m_http.setLimits(limits);
 }
 
 Result<void> AnnounceServer::listen(const Address &address)
 {
-    if (evhttp_bind_socket(m_http, address.ip.c_str(), address.port) != 0)
-        return failure(ErrorCode::AddressUnusable, "announce address " + address.toString());
-    return success();
+    return m_http.listen(address);
 }
 
-void AnnounceServer::onRequest(evhttp_request *request, void *self)
+void AnnounceServer::handle(CallerRequest &request) const
 {
-    auto *server = static_cast<AnnounceServer *>(self);
-    const auto announcement = parseAnnouncement(readBody(request));
-    if (!announcement) {
-        evhttp_send_error(request, HTTP_BADREQUEST, describe(announcement.error()).c_str());
-        return;
-    }
-    server->m_handler(announcement.value());
-    auto *reply = evbuffer_new();
-    const auto text = nlohmann::json {{"node", server->m_node}}.dump();
-    evbuffer_add(reply, text.data(), text.size());
-    evhttp_send_reply(request, HTTP_OK, "OK", reply);
-    evbuffer_free(reply);
+    constexpr std::uint32_t StatusOk = 200;
+    if (const auto checked = request.check(); !checked)
+        return refuse(request, checked.error());
+    if (request.target() != AnnouncePath)
+        return refuse(request,
+                      {ErrorCode::RequestUnknownRoute, "expected " + std::string(AnnouncePath)});
+    const auto announcement = parseAnnouncement(request.takeBody());
+    if (!announcement)
+        return refuse(request, announcement.error());
+    m_handler(announcement.value());
+    request.respond(StatusOk, {{"Content-Type", "application/json"}},
+                    nlohmann::json {{"node", m_node}}.dump());
 }
 
 } // namespace berylspur
--- a/src/owner/announce_server.h
+++ b/src/owner/announce_server.h
@@ -3,9 +3,10 @@
 
 #include "berylspur/core/address.h"
 #include "berylspur/core/result.h"
+#include "berylspur/http/caller_server.h"
 #include "berylspur/owner/announcement.h"
 
-#include <event2/http.h>
+#include <event2/event.h>
 #include <functional>
 #include <string>
 
@@ -20,7 +21,6 @@
     using Handler = std::function<void(const Announcement &)>;
 
     AnnounceServer(event_base *base, std::string node, Handler handler);
-    ~AnnounceServer();
     AnnounceServer(const AnnounceServer &) = delete;
     AnnounceServer &operator=(const AnnounceServer &) = delete;
 
@@ -28,11 +28,11 @@
     Result<void> listen(const Address &address);
 
 private:
-    static void onRequest(evhttp_request *request, void *self);
+    void handle(CallerRequest &request) const;
 
-    evhttp *m_http;
     std::string m_node;
     Handler m_handler;
+    CallerServer m_http;
 };
 
 } // namespace berylspur
