Take a store response without a revision as a bad answer

What operators would see: a node that ends. A write answered with 'metadata' that is no object ({"metadata":[]}) threw json::type_error out of a callback of the event loop. A list or watch with "at":-1 was taken as revision 2^64 - 1, after which no watch would see a change.

Cause: json::value() throws for anything but an object, and get<uint64_t>() converts negative numbers.

--- /dev/null
+++ b/tests/platform_responses_test.cpp
@@ -0,0 +1,90 @@
+// Client of the platform's object API against a store that answers with scripted bytes.
+#define BOOST_TEST_MODULE platform_responses
+#include "loop.h"
+#include "platform/platform_client.h"
+#include "scripted_server.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <optional>
+#include <ostream>
+
+using namespace berylspur;
+namespace data = boost::unit_test::data;
+
+namespace {
+
+std::string response(int status, const std::string &body)
+{
+    return "HTTP/1.1 " + std::to_string(status) + " x\r\nConnection: close\r\nContent-Length: "
+           + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+enum class Call { Read, Create, Replace, List, Watch };
+
+std::ostream &operator<<(std::ostream &out, Call call)
+{
+    constexpr const char *Names[] = {"read", "create", "replace", "list", "watch"};
+    return out << Names[static_cast<int>(call)];
+}
+
+const std::vector<Call> Calls {Call::Read, Call::Create, Call::Replace, Call::List, Call::Watch};
+
+struct Fixture
+{
+    /// Error code of \a call once it has ended; Ok if it succeeded.
+    ErrorCode codeOf(Call call)
+    {
+        std::optional<ErrorCode> code;
+        const auto ended = [&code](const auto &result) {
+            code = result ? ErrorCode::Ok : result.error().code;
+        };
+        switch (call) {
+        case Call::Read:
+            client.read("k/n", ended);
+            break;
+        case Call::Create:
+            client.write("k/n", "v", 0, ended);
+            break;
+        case Call::Replace:
+            client.write("k/n", "v", 4, ended);
+            break;
+        case Call::List:
+            client.list("k/", ended);
+            break;
+        case Call::Watch:
+            client.watch("k/n", 4, ended);
+            break;
+        }
+        BOOST_TEST(loop.runUntil([&] {
+            store.poll();
+            return code.has_value();
+        }));
+        return code.value_or(ErrorCode::Ok);
+    }
+
+    Loop loop;
+    ScriptedServer store;
+    PlatformClient client {loop.base, store.address};
+};
+
+} // namespace
+
+// Guards against an exception in a callback of the event loop, which ends the process, and against
+// a malformed response that passes for a success.
+BOOST_DATA_TEST_CASE_F(
+        Fixture, malformed_response_is_a_bad_answer,
+        data::make(Calls)
+                * data::make({"", "5", "[]", "{}", "null", "x", R"({"metadata":5,"at":"x"})",
+                              R"({"metadata":"m","at":-1})", R"({"metadata":[],"at":[]})",
+                              R"({"metadata":{"revision":-1},"at":null})",
+                              R"({"metadata":{"revision":"7"},"at":{}})",
+                              R"({"at":7,"hasMore":"x"})", R"({"at":7,"items":5})",
+                              R"({"at":7,"items":[5]})", R"({"at":7,"items":[{"metadata":7}]})"}),
+        call, body)
+{
+    store.script = response(200, body);
+    store.action = ConnectionAction::Close;
+    BOOST_TEST((codeOf(call) == ErrorCode::PlatformBadAnswer));
+}
