--- a/tests/platform_responses_test.cpp
+++ b/tests/platform_responses_test.cpp
@@ -69,6 +69,39 @@
     PlatformClient client {loop.base, store.address};
 };
 
+struct EndlessCase
+{
+    const char *name;
+    std::string start;
+    std::string repeated;
+    std::size_t maxTakenBytes;
+};
+
+std::ostream &operator<<(std::ostream &out, const EndlessCase &sample)
+{
+    return out << sample.name;
+}
+
+constexpr std::size_t SocketBytes = 12u << 20; ///< that the sockets of both sides may hold
+constexpr std::size_t MaxHead = SocketBytes + (64u << 10);
+constexpr std::size_t MaxBody = SocketBytes + (33u << 20);
+const std::string Ok = "HTTP/1.1 200 OK\r\n";
+const std::string Chunked = Ok + "Transfer-Encoding: chunked\r\n\r\n";
+
+const std::vector<EndlessCase> EndlessCases {
+        {"garbage", "", "x", MaxHead},
+        {"status line", "HTTP/1.1 200 ", "x", MaxHead},
+        {"field value", Ok + "A: ", "x", MaxHead},
+        {"fields", Ok, "A: b\r\n", MaxHead},
+        {"interim responses", "", "HTTP/1.1 103 E\r\n\r\n", MaxBody},
+        {"body without a length", Ok + "\r\n", "x", MaxBody},
+        {"small chunks", Chunked, "1\r\nx\r\n", MaxBody},
+        {"chunk size", Chunked, "0", MaxBody},
+        {"chunk extension", Chunked + "1;", "x", MaxBody},
+        {"trailers", Chunked + "0\r\n", "A: b\r\n", MaxBody},
+        {"trailer value", Chunked + "0\r\nA: ", "x", MaxBody},
+};
+
 } // namespace
 
 // Guards against an exception in a callback of the event loop, which ends the process, and against
@@ -88,3 +121,18 @@
     store.action = ConnectionAction::Close;
     BOOST_TEST((codeOf(call) == ErrorCode::PlatformBadAnswer));
 }
+
+// Guards against a node whose memory a response without an end fills.
+BOOST_DATA_TEST_CASE_F(Fixture, parts_without_end_are_bounded, data::make(EndlessCases), sample)
+{
+    store.script = sample.start;
+    store.endless = sample.repeated;
+    const auto code = codeOf(Call::Read);
+    BOOST_TEST((code == ErrorCode::PlatformUnreachable || code == ErrorCode::PlatformTimeout
+                || code == ErrorCode::PlatformBadAnswer));
+    BOOST_TEST(store.endlessSent() <= sample.maxTakenBytes);
+    BOOST_TEST(loop.runUntil([&] {
+        store.poll();
+        return store.openConnections() == 0;
+    }));
+}
