--- a/tests/platform_responses_test.cpp
+++ b/tests/platform_responses_test.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <cstdlib>
 #include <functional>
 #include <optional>
 #include <ostream>
@@ -64,6 +65,16 @@
         return code.value_or(ErrorCode::Ok);
     }
 
+    /// The parameter waitMs of the last request.
+    long waitMs() const
+    {
+        constexpr std::string_view Name = "waitMs=";
+        const auto at = store.received.find(Name);
+        return at == std::string::npos
+                       ? -1
+                       : std::strtol(store.received.c_str() + at + Name.size(), nullptr, 10);
+    }
+
     Loop loop;
     ScriptedServer store;
     PlatformClient client {loop.base, store.address};
@@ -136,3 +147,32 @@
         return store.openConnections() == 0;
     }));
 }
+
+// Guards against a watch that outlasts its wait, because it begins again when the store has
+// compacted its history.
+BOOST_FIXTURE_TEST_CASE(watch_does_not_wait_longer_after_compaction, Fixture)
+{
+    constexpr auto Pause = std::chrono::milliseconds(300);
+    const auto receive = [this](int count) {
+        return loop.runUntil([&] {
+            store.poll();
+            return store.requests == count;
+        });
+    };
+    client.watch("k/n", 4, [](const Result<PlatformObject> &) {});
+    store.script = response(200, R"({"at":5,"items":[]})");
+    BOOST_REQUIRE(receive(1));
+    store.script.clear();
+    BOOST_REQUIRE(receive(2));
+    const auto wait = waitMs();
+    BOOST_TEST(wait > 0);
+    const auto start = BootClock::now();
+    BOOST_TEST(loop.runUntil([&] { return BootClock::now() - start >= Pause; }));
+    store.script = response(200, R"({"at":9,"items":[]})");
+    store.send(response(410, ""));
+    BOOST_REQUIRE(receive(3));
+    store.script.clear();
+    BOOST_REQUIRE(receive(4));
+    BOOST_TEST(waitMs() > 0);
+    BOOST_TEST(waitMs() <= wait - Pause.count());
+}
