Reject numbers of heartbeats and configurations that do not fit

What could happen: an endpoint that announces slots was taken with 4; a route with attempts, or a weight of -90, got another number; a body limit of 4 GiB and one byte became one byte, so every request with a body was refused.

Cause: json::get<uint32_t>() converts negative numbers, fractions and larger numbers without an error.

Limits and timeouts of the operator beyond 32 bits are the largest number instead, since they have the same effect.

--- a/src/owner/announce_server.cpp
+++ b/src/owner/announce_server.cpp
@@ -2,6 +2,7 @@
 #include "announce_server.h"
 
 #include "berylspur/core/enum_table.h"
+#include "berylspur/core/json_number.h"
 #include "berylspur/core/log.h"
 #include "berylspur/http/request_status.h"
 
@@ -41,14 +42,14 @@
         Announcement announcement;
         announcement.id = parsed.at("id").get<std::string>();
         announcement.service = parsed.at("service").get<std::string>();
-        announcement.slots = parsed.at("slots").get<std::uint32_t>();
+        const auto slots = unsignedNumber(parsed.at("slots"), MaxSlots);
         const auto readiness = enumValue(ReadinessNames, parsed.at("state").get<std::string>());
         auto address = Address::parse(parsed.at("address").get<std::string>());
         if (!address)
             return failure(address.error().code, address.error().detail);
-        if (!readiness || announcement.id.empty() || announcement.slots == 0
-            || announcement.slots > MaxSlots)
+        if (!readiness || announcement.id.empty() || slots.value_or(0) == 0)
             return failure(ErrorCode::RequestMalformed, "announcement has a value out of range");
+        announcement.slots = static_cast<std::uint32_t>(*slots);
         announcement.address = address.value();
         announcement.readiness = *readiness;
         return announcement;
--- a/tests/endpoint_calls_test.cpp
+++ b/tests/endpoint_calls_test.cpp
@@ -90,6 +90,10 @@
 const std::vector<CallCase> Calls {
         {"announcement", Server::Announcements, post("/announce", Announced), "200", 1, 0},
         {"announcement, bad body", Server::Announcements, post("/announce", "{}"), "400", 0, 0},
+        {"announcement, slots out of range", Server::Announcements,
+         post("/announce", R"({"id":"e","service":"one","address":"10.0.0.1:80",)"
+                           R"("slots":4294967300,"state":"ready"})"),
+         "400", 0, 0},
         {"announcement, other path", Server::Announcements, post("/a", Announced), "404", 0, 0},
         {"heartbeat", Server::Heartbeats, post(HeartbeatTarget, Heartbeat), "200", 1, 0},
         {"heartbeat, bad body", Server::Heartbeats, post(HeartbeatTarget, "[]"), "400", 0, 0},
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -61,11 +61,43 @@
 }
 
 const std::vector<BadHeartbeat> BadHeartbeats {
-        {"service", nullptr},  {"service", 3},      {"service", ""},       {"address", nullptr},
-        {"address", "host:1"}, {"slots", "4"},      {"slots", 0},          {"slots", -1},
-        {"slots", 4.5},        {"state", "asleep"}, {"state", nullptr},    {"cold", 5},
-        {"cold", "5m"},        {"sequence", "7"},   {"sequence", nullptr}, {"born", "x"},
-        {"born", 1.5},
+        {"service", nullptr},  {"service", 3},        {"service", ""},
+        {"address", nullptr},  {"address", "host:1"}, {"slots", "4"},
+        {"slots", 0},          {"slots", -1},         {"slots", 4.5},
+        {"state", "asleep"},   {"state", nullptr},    {"cold", 5},
+        {"cold", "5m"},        {"sequence", "7"},     {"sequence", nullptr},
+        {"born", "x"},         {"born", 1.5},         {"sequence", -1},
+        {"slots", 4294967300}, {"slots", 10001},      {"born", 18446744073709551615U},
+};
+
+/// A value of the configuration that is replaced, and whether the result is still valid.
+struct NumberCase
+{
+    const char *field; ///< JSON pointer
+    json value;
+    bool isValid;
+};
+
+std::ostream &operator<<(std::ostream &out, const NumberCase &sample)
+{
+    return out << sample.field << "=" << sample.value.dump();
+}
+
+const std::vector<NumberCase> Numbers {
+        {"/resources/0/spec/attempts", 0, true},
+        {"/resources/0/spec/attempts", -1, false},
+        {"/resources/0/spec/attempts", 4294967298, false},
+        {"/resources/0/spec/attempts", "2", false},
+        {"/resources/0/spec/priority", 4294967295, true},
+        {"/resources/0/spec/priority", 4294967296, false},
+        {"/resources/0/spec/priority", 1.5, false},
+        {"/resources/0/spec/timeout", "5000000s", true},
+        {"/resources/1/spec/weightedServices/0/weight", -90, false},
+        {"/resources/1/spec/weightedServices/0/weight", 4294967386, false},
+        {"/resources/5/spec/headerBytes", -1, false},
+        {"/resources/5/spec/headerBytes", "16384", false},
+        {"/resources/5/spec/maxBodyBytes", 4294967297, true},
+        {"/resources/5/spec/maxBodyBytes", 1e300, false},
 };
 
 } // namespace
@@ -117,6 +149,31 @@
     BOOST_TEST((decoded.error().code == ErrorCode::ManifestInvalid));
 }
 
+// Guards against a number that is read as another one because it does not fit.
+BOOST_DATA_TEST_CASE(numbers_out_of_range_are_rejected, data::make(Numbers), sample)
+{
+    auto text = configuration();
+    text[json::json_pointer(sample.field)] = sample.value;
+    const auto decoded = platform::decodeConfiguration(text.dump(), {});
+    BOOST_TEST(decoded.has_value() == sample.isValid);
+    if (!sample.isValid)
+        BOOST_TEST((decoded.error().code == ErrorCode::ManifestInvalid));
+}
+
+// Guards against a limit of the operator that becomes a small one because it does not fit.
+BOOST_AUTO_TEST_CASE(limits_beyond_the_range_are_the_largest)
+{
+    auto text = configuration();
+    text[json::json_pointer("/resources/5/spec/maxBodyBytes")] = 4294967297;
+    text[json::json_pointer("/resources/0/spec/timeout")] = "5000000s";
+    const auto decoded = platform::decodeConfiguration(text.dump(), {});
+    BOOST_REQUIRE(decoded.has_value());
+    const auto *one = find(decoded.value(), "one");
+    BOOST_REQUIRE(one);
+    BOOST_TEST(one->caller_bounds().body_bytes() == 4294967295U);
+    BOOST_TEST(one->content().routes(0).deadline_ms() == 4294967295U);
+}
+
 // Guards against heartbeat fields that are ignored or converted to the wrong unit.
 BOOST_AUTO_TEST_CASE(heartbeat_is_decoded)
 {
