Forget endpoints, nodes and services that no longer exist

What operators would see: a gate whose memory grows with each endpoint, node and service that ever existed.

Cause: EndpointPicker::retain() and PathHealth::forget() had no caller; views and retry budgets of deleted services, and the time of the last announcement of each endpoint at its owner, were kept without end.

Change: once a minute the gate drops what the member table and the routes do not have; the time of the last announcement is a member of OwnedEndpoint and goes with it. PathHealth::retain() takes the place of forget(); its check is kept and one added.

--- a/include/berylspur/membership/member_table.h
+++ b/include/berylspur/membership/member_table.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace berylspur {
@@ -89,6 +90,8 @@
     /// Endpoints of \a service on all members of the table, sorted by id. Those of dead and left
     /// members have ownerAlive unset.
     std::vector<EndpointView> endpoints(const std::string &service) const;
+    /// Ids of the endpoints of all members of the table.
+    std::unordered_set<std::string> endpointIds() const;
     /// Changes whenever an endpoint or a status changes. Gates use it to invalidate their caches.
     std::uint64_t version() const;
 
--- a/include/berylspur/routing/path_health.h
+++ b/include/berylspur/routing/path_health.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace berylspur {
 
@@ -20,8 +21,8 @@
     void recordSuccess(const std::string &node);
     /// True if new requests should use the path.
     bool isUsable(const std::string &node, TimePoint now) const;
-    /// Forgets \a node.
-    void forget(const std::string &node);
+    /// Forgets nodes that are not in \a known.
+    void retain(const std::unordered_set<std::string> &known);
     std::size_t size() const;
 
 private:
--- a/src/gate/gate_context.cpp
+++ b/src/gate/gate_context.cpp
@@ -1,4 +1,4 @@
-// Caches of the node lists that requests read.
+// Caches of the node lists that requests read, and removal of state that is no longer needed.
 #include "gate_context.h"
 
 namespace berylspur {
@@ -12,6 +12,15 @@
     m_cachedVersionPlusOne = members.version() + 1;
 }
 
+void GateContext::forgetAbsent()
+{
+    const auto &nodes = knownNodes();
+    pathHealth.retain({nodes.begin(), nodes.end()});
+    picker.retain(members.endpointIds());
+    serviceViews.retain(routes);
+    std::erase_if(retryBudgets, [this](const auto &entry) { return !routes.service(entry.first); });
+}
+
 const std::vector<std::string> &GateContext::knownNodes()
 {
     refreshNodes();
--- a/src/gate/gate_context.h
+++ b/src/gate/gate_context.h
@@ -74,6 +74,9 @@
     std::function<bool(const std::string &id)> isNestedCall;
     std::function<void(const NestedCallEnded &)> onNestedCallEnd;
 
+    /// Drops what is kept for nodes, endpoints and services that no longer exist.
+    void forgetAbsent();
+
     /// Names of the nodes in the member table, cached until the table changes.
     const std::vector<std::string> &knownNodes();
     const std::vector<std::string> &reachableNodes();
--- a/src/gate/gate_task.cpp
+++ b/src/gate/gate_task.cpp
@@ -15,6 +15,7 @@
 
 constexpr Duration MaintenanceInterval = std::chrono::seconds(1);
 constexpr Duration PeerIdleTimeout = std::chrono::seconds(60);
+constexpr Duration ForgetInterval = std::chrono::seconds(60);
 
 constexpr EnumTable<RotationVerdict, 6> VerdictNames {{
         {RotationVerdict::InRotation, "in"},
@@ -102,6 +103,7 @@
     GateContext m_context;
     CallerServer m_callers;
     Timer m_maintenanceTimer;
+    TimePoint m_nextForget = BootClock::now() + ForgetInterval;
     Timer m_releaseTimer;
     std::unordered_map<GateRequest *, std::shared_ptr<GateRequest>> m_openRequests;
     // Requests finish inside their own callbacks, so their destruction is deferred to the next
@@ -203,6 +205,10 @@
     m_context.rateLimiter.expire(now);
     divideRetryBurst();
     m_context.peers.closeIdle(now - PeerIdleTimeout);
+    if (now >= m_nextForget) {
+        m_context.forgetAbsent();
+        m_nextForget = now + ForgetInterval;
+    }
 }
 
 nlohmann::json GateTask::Impl::dump()
--- a/src/gate/service_view.cpp
+++ b/src/gate/service_view.cpp
@@ -22,4 +22,9 @@
         found->second.cachedVersionPlusOne = 0;
 }
 
+void ServiceViews::retain(const RouteTable &routes)
+{
+    std::erase_if(m_views, [&routes](const auto &entry) { return !routes.service(entry.first); });
+}
+
 } // namespace berylspur
--- a/src/gate/service_view.h
+++ b/src/gate/service_view.h
@@ -6,6 +6,7 @@
 #include "berylspur/owner/slot_scheduler.h"
 #include "berylspur/routing/capacity_floor.h"
 #include "berylspur/routing/rotation.h"
+#include "berylspur/routing/route_table.h"
 #include "berylspur/routing/service_time_samples.h"
 
 #include <cstdint>
@@ -37,6 +38,8 @@
     ServiceView &current(const schema::ServiceConfig &config, TimePoint now);
     /// Forces a recomputation, for example after a change of configuration.
     void invalidate(const std::string &service);
+    /// Forgets services that \a routes does not have.
+    void retain(const RouteTable &routes);
     const std::map<std::string, ServiceView> &all() const { return m_views; }
 
 private:
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -392,6 +392,16 @@
     return views;
 }
 
+std::unordered_set<std::string> MemberTable::endpointIds() const
+{
+    std::unordered_set<std::string> ids;
+    for (const auto &[name, member] : m_members) {
+        for (const auto &endpoint : member.record.endpoints())
+            ids.insert(endpoint.id());
+    }
+    return ids;
+}
+
 std::uint64_t MemberTable::version() const
 {
     return m_version;
--- a/src/owner/owned_endpoint.h
+++ b/src/owner/owned_endpoint.h
@@ -49,6 +49,7 @@
     }
 
     Announcement info;
+    TimePoint lastAnnounced;
     EndpointLease lease;
     SlotScheduler scheduler;
     GrayDetector detector;
--- a/src/owner/owner_announcements.cpp
+++ b/src/owner/owner_announcements.cpp
@@ -164,7 +164,7 @@
     else if (announcement.coldFor > Duration::zero())
         endpoint.detector.setColdUntil(now + announcement.coldFor);
     endpoint.lease.renew(now, m_leaseTerm);
-    m_lastAnnounced[announcement.id] = now;
+    endpoint.lastAnnounced = now;
     publish(now);
     return true;
 }
--- a/src/owner/owner_task.cpp
+++ b/src/owner/owner_task.cpp
@@ -452,8 +452,8 @@
     for (auto &[id, endpoint] : m_endpoints)
         tickEndpoint(*endpoint, now);
     std::erase_if(m_endpoints, [&](const auto &item) {
-        return item.second->requests.empty()
-               && now - m_lastAnnounced[item.first] > EndpointRetention;
+        const auto &endpoint = *item.second;
+        return endpoint.requests.empty() && now - endpoint.lastAnnounced > EndpointRetention;
     });
     m_ledger.expire(now);
     publish(now);
--- a/src/owner/owner_task_impl.h
+++ b/src/owner/owner_task_impl.h
@@ -140,7 +140,6 @@
     RequestLedger m_ledger;
     std::map<std::string, std::unique_ptr<OwnedEndpoint>> m_endpoints; // by endpoint id
     std::map<std::string, ServiceState> m_services;
-    std::map<std::string, TimePoint> m_lastAnnounced; // by endpoint id
     std::string m_publishedRecords; // serialized, as last sent to peers
     std::map<ErrorCode, std::uint64_t> m_refusalCounts;
     DurationHistogram m_serviceTimes[2]; // by RequestClass
--- a/src/routing/path_health.cpp
+++ b/src/routing/path_health.cpp
@@ -36,9 +36,9 @@
     return path == m_paths.end() || now >= path->second.avoidUntil;
 }
 
-void PathHealth::forget(const std::string &node)
+void PathHealth::retain(const std::unordered_set<std::string> &known)
 {
-    m_paths.erase(node);
+    std::erase_if(m_paths, [&known](const auto &entry) { return !known.contains(entry.first); });
 }
 
 std::size_t PathHealth::size() const
--- a/tests/routing_test.cpp
+++ b/tests/routing_test.cpp
@@ -641,7 +641,9 @@
     health.recordFailure("n", now);
     BOOST_TEST(health.isUsable("n", now + 250ms));
     BOOST_TEST(health.isUsable("other", now));
-    health.forget("n");
+    health.retain({"n"});
+    BOOST_TEST(health.size() == 1U);
+    health.retain({"other"});
     BOOST_TEST(health.size() == 0U);
 }
 
