Limit heads and bodies of requests to the admin server

evhttp has no limit for either unless one is set. The addresses are loopback unless the settings say otherwise, so no caller saw a fault.

--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -6,8 +6,17 @@
 
 namespace berylspur {
 
+namespace {
+
+constexpr ev_ssize_t MaxHeadBytes = 16 << 10;
+constexpr ev_ssize_t MaxBodyBytes = 16 << 10;
+
+} // namespace
+
 AdminServer::AdminServer(event_base *base) : m_http(evhttp_new(base))
 {
+    evhttp_set_max_headers_size(m_http, MaxHeadBytes);
+    evhttp_set_max_body_size(m_http, MaxBodyBytes);
     evhttp_set_allowed_methods(m_http, EVHTTP_REQ_GET);
     evhttp_set_gencb(m_http, onRequest, this);
 }
