--- a/tests/endpoint_client_test.cpp
+++ b/tests/endpoint_client_test.cpp
@@ -4,6 +4,7 @@
 #include "loop.h"
 #include "scripted_server.h"
 
+#include <algorithm>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <optional>
@@ -265,3 +266,27 @@
     }));
     BOOST_TEST(toMs(BootClock::now() - cancelled) < toMs(CloseTime));
 }
+
+// Guards against an endpoint whose response without an end takes the event loop of the node.
+BOOST_DATA_TEST_CASE_F(Fixture, turn_of_the_loop_is_bounded_while_bytes_come_without_end,
+                       data::make(EndlessBodies), endless)
+{
+    constexpr std::size_t ReadBytes = 4u << 20;
+    constexpr std::size_t MaxTurnBytes = 256u << 10;
+    endpoint.script = endless.script;
+    endpoint.endless = endless.endless;
+    std::size_t read = 0;
+    CallHandler handler;
+    handler.data = [&read](std::string_view bytes) { read += bytes.size(); };
+    const auto running = client.start(get(), std::move(handler));
+    std::size_t longestTurn = 0;
+    const auto limit = BootClock::now() + std::chrono::seconds(20);
+    while (read < ReadBytes && BootClock::now() < limit) {
+        endpoint.poll();
+        const auto before = read;
+        event_base_loop(loop.base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+        longestTurn = std::max(longestTurn, read - before);
+    }
+    BOOST_TEST(read >= ReadBytes);
+    BOOST_TEST(longestTurn <= MaxTurnBytes);
+}
--- a/tests/http_caller_test.cpp
+++ b/tests/http_caller_test.cpp
@@ -1,5 +1,6 @@
 // The HTTP server for callers, tested with raw bytes over a socket.
 #define BOOST_TEST_MODULE http_caller
+#include "berylspur/core/ids.h"
 #include "berylspur/http/caller_server.h"
 #include "loop.h"
 #include "raw_caller.h"
@@ -166,6 +167,26 @@
         BOOST_TEST(loop.runUntil([&] { return !caller.read(); }));
 }
 
+// Guards against a verdict that depends on how the network cuts the bytes of a request.
+BOOST_DATA_TEST_CASE_F(Fixture, verdict_does_not_depend_on_cuts,
+                       data::make(Inputs) * data::xrange(12), input, seed)
+{
+    constexpr std::size_t MaxCuts = 8;
+    Random random(static_cast<std::uint64_t>(seed));
+    RawCaller caller(address);
+    std::string_view rest = input.bytes;
+    for (std::size_t cuts = 1 + random() % MaxCuts; cuts > 0 && !rest.empty(); --cuts) {
+        const auto size = random() % rest.size();
+        caller.send(std::string(rest.substr(0, size)));
+        rest.remove_prefix(size);
+        event_base_loop(loop.base, EVLOOP_ONCE | EVLOOP_NONBLOCK);
+    }
+    caller.send(std::string(rest));
+    BOOST_TEST(waitFor(caller, "Code: " + std::string(errorName(input.code)) + "\r\n"),
+               caller.received);
+    BOOST_TEST(requests.size() == 1U);
+}
+
 // Guards against a trailer that poses as a header which a hop in front has removed.
 BOOST_DATA_TEST_CASE_F(Fixture, trailers_are_not_headers, data::make(GateHeaders), name)
 {
--- a/tests/standin/berylspur_backend.cpp
+++ b/tests/standin/berylspur_backend.cpp
@@ -4,6 +4,7 @@
 #include "berylspur/core/address.h"
 #include "berylspur/core/enum_table.h"
 #include "berylspur/core/ids.h"
+#include "endless_response.h"
 #include "endpoint_protocol.h"
 #include "http_support.h"
 
@@ -191,6 +192,8 @@
     std::string token;
     double workMs = 0;
     std::optional<std::size_t> bytes;
+    std::optional<EndlessPart> endless;
+    std::string endlessBytes; ///< written each time the previous bytes are sent
     std::size_t sent = 0;
     bool truncate = false;
     EventPtr timer;
@@ -361,6 +364,8 @@
         work->workMs = workMs(request, kind);
         if (const auto bytes = query(request, "bytes"))
             work->bytes = std::strtoull(bytes->c_str(), nullptr, 10);
+        if (const auto part = query(request, "endless"))
+            work->endless = enumValue(EndlessPartNames, *part);
 
         if (kind == WorkKind::Request && rejectIfNotRunnable(*work))
             return;
@@ -516,6 +521,8 @@
             return replyJson(work.request, m_faults.failProbes || isLeaving ? 503 : 200,
                              {{"id", m_id}, {"state", enumName(StateNames, state())}});
         }
+        if (work.endless)
+            return startEndless(work);
         if (m_faults.dropResponses)
             return abortConnection(work, false);
         if (drawWithProbability(m_faults.resetShare))
@@ -578,6 +585,35 @@
         work->endpoint->sendChunk(*work);
     }
 
+    /// Sends a response with a part that has no end, for `?endless=PART`, until the caller closes.
+    void startEndless(Work &work)
+    {
+        constexpr std::size_t WriteBytes = 256 << 10;
+        const auto response = endlessResponse(*work.endless);
+        while (work.endlessBytes.size() < WriteBytes)
+            work.endlessBytes.append(response.repeated);
+        auto *connection = evhttp_connection_get_bufferevent(work.connection);
+        bufferevent_setcb(connection, nullptr, &Endpoint::onEndlessSent, &Endpoint::onEndlessClosed,
+                          &work);
+        bufferevent_write(connection, response.start.data(), response.start.size());
+        bufferevent_enable(connection, EV_READ | EV_WRITE);
+        onEndlessSent(connection, &work);
+    }
+
+    static void onEndlessSent(bufferevent *connection, void *context)
+    {
+        const auto &bytes = static_cast<Work *>(context)->endlessBytes;
+        bufferevent_write(connection, bytes.data(), bytes.size());
+    }
+
+    static void onEndlessClosed(bufferevent *connection, short, void *context)
+    {
+        auto *work = static_cast<Work *>(context);
+        bufferevent_setcb(connection, nullptr, nullptr, nullptr, nullptr);
+        work->endpoint->m_log.recordEvent("endless-closed", work->id, work->key);
+        work->endpoint->abortConnection(*work, false);
+    }
+
     /// Closes the connection from the event loop, because evhttp still uses it in its callbacks.
     void abortConnection(Work &work, bool reset)
     {
