Count no held failing endpoint as capacity when a slow one is judged

Cause: design 1.2 says that endpoints which fail their requests are no capacity. rotation() counted one that the floor holds, so with unequal slots a slow endpoint was ejected in its place: of two endpoints with 6 (failing) and 1 (slow) slots, the slow one went, and no healthy slot was left of a floor of 5.

Decision: design 1.2 holds, since a slow endpoint serves requests and a failing one doesn't. With equal slots nothing changes.

Test: held_failing_endpoints_are_no_capacity_for_slow_ones; falsified after 289 random views before, holds for 1,000.

--- a/src/routing/rotation.cpp
+++ b/src/routing/rotation.cpp
@@ -55,6 +55,7 @@
 void reduceToFloor(Rotation &rotation, const std::vector<EndpointView> &view,
                    const RotationConfig &config)
 {
+    std::uint32_t heldFailingSlots = 0; // failing endpoints come first in the order
     for (const std::uint32_t i : removalOrder(rotation, view)) {
         const EndpointView &endpoint = view[i];
         const std::uint32_t kept = endpoint.onTrial ? std::min(endpoint.slots, TrialSlots) : 0;
@@ -62,11 +63,15 @@
         const std::uint32_t floor = endpoint.failsRequests
                                             ? std::min(config.failingFloorSlots, config.floorSlots)
                                             : config.floorSlots;
+        // A held endpoint that fails its requests is no capacity that could replace a slow one.
+        const std::uint32_t capacity =
+                rotation.slotsInRotation - (endpoint.failsRequests ? 0 : heldFailingSlots);
         // One that is too large to remove does not protect a smaller one that follows.
-        const bool canRemove =
-                rotation.slotsInRotation >= removed && rotation.slotsInRotation - removed >= floor;
+        const bool canRemove = capacity >= removed && capacity - removed >= floor;
         if (canRemove)
             rotation.slotsInRotation -= removed;
+        else if (endpoint.failsRequests && !endpoint.onTrial)
+            heldFailingSlots += removed;
         if (endpoint.onTrial)
             rotation.entries[i].verdict =
                     canRemove ? RotationVerdict::InRotation : RotationVerdict::OpenedByFloor;
--- a/tests/failing_endpoints_test.cpp
+++ b/tests/failing_endpoints_test.cpp
@@ -4,12 +4,12 @@
 #include "berylspur/routing/capacity_floor.h"
 #include "berylspur/routing/endpoint_picker.h"
 #include "berylspur/routing/rotation.h"
+#include "property_check.h"
 
 #include <algorithm>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <ostream>
-#include <rapidcheck.h>
 #include <string>
 
 using namespace berylspur;
@@ -184,7 +184,7 @@
 // endpoints below the full floor, in any view.
 BOOST_AUTO_TEST_CASE(floors_hold_for_any_view)
 {
-    const bool holds = rc::check([] {
+    test::checkProperty(1000, [] {
         auto view = makeView(*rc::gen::inRange<std::size_t>(1, 40), 0, 0);
         for (auto &endpoint : view) {
             endpoint.severity = *rc::gen::inRange(0U, 4U);
@@ -202,5 +202,31 @@
                 RC_ASSERT(state.slotsInRotation >= config.floorSlots);
         }
     });
-    BOOST_TEST(holds);
+}
+
+// Guards against a held endpoint that fails its requests but counts as the capacity in whose place
+// a slow one is ejected. With equal slots the floor that holds the one holds the other.
+BOOST_AUTO_TEST_CASE(held_failing_endpoints_are_no_capacity_for_slow_ones)
+{
+    test::checkProperty(1000, [] {
+        auto view = makeView(*rc::gen::inRange<std::size_t>(1, 7), 0, 0);
+        for (auto &endpoint : view) {
+            endpoint.slots = *rc::gen::inRange(1U, 17U);
+            endpoint.severity = *rc::gen::inRange(0U, 4U);
+            endpoint.failsRequests = endpoint.severity > 0 && *rc::gen::arbitrary<bool>();
+        }
+        const auto config = rotationConfig(service(), view);
+        const auto state = rotation(view, config);
+        std::uint32_t healthy = 0;
+        bool isSlowEjected = false;
+        for (std::size_t i = 0; i < view.size(); ++i) {
+            healthy += view[i].failsRequests ? 0 : admittedSlots(view, state, i);
+            isSlowEjected = isSlowEjected
+                            || (!view[i].failsRequests
+                                && state.entries[i].verdict == RotationVerdict::Ejected);
+        }
+        if (isSlowEjected)
+            RC_ASSERT(healthy >= config.floorSlots);
+        RC_ASSERT(usableSlots(view, state) >= config.failingFloorSlots);
+    });
 }
