--- a/benchmark/capacity.sh
+++ b/benchmark/capacity.sh
@@ -20,22 +20,20 @@
 }
 trap stop_all EXIT
 
-put() { # object name ("kind/name"), file; creates the object or replaces its value
-  local kind=${1%%/*} name=${1#*/} body
-  body=$(jq -cn --arg name "$name" --arg spec "$(od -An -v -tx1 "$2" | tr -d ' \n')" \
-    '{metadata: {name: $name, finalizers: []}, spec: $spec, status: null}')
-  local objects="http://127.0.0.1:20000/v1/objects/$kind"
-  curl -sf -o /dev/null -X POST -d "$body" "$objects" ||
-    curl -sf -o /dev/null -X PUT -d "$body" "$objects/${name//\//%2F}"
-}
-
-apply() { # revision
-  printf 'name: "scan" endpoints: 8 slots: 4 floor_percent: 50 routes {path_prefix: "/" idempotent: true deadline_ms: %d}' \
-    $((5000 + $1)) | protoc -Ischema --encode=berylspur.schema.Service berylspur/manifest.proto >"$out/service"
-  printf 'revision: %d customer_header: "X-Customer" entries {service: "scan" hash: "h%d" revision: %d}' "$1" "$1" "$1" |
-    protoc -Ischema --encode=berylspur.schema.ManifestHead berylspur/manifest.proto >"$out/head"
-  put "manifest/services/scan/h$1" "$out/service"
-  put manifest/head "$out/head"
+apply() { # revision; status 7 of berylspurctl: not in force on all nodes yet
+  cat >"$out/manifest.yaml" <<YAML
+fleet: capacity
+customer-header: X-Customer
+services:
+  - name: scan
+    endpoints: 8
+    slots: 4
+    floor-percent: 50
+    routes:
+      - {path-prefix: /scan, methods: [GET], idempotent: true, deadline-ms: $((5000 + $1))}
+YAML
+  "$build/bin/berylspurctl" apply "$out/manifest.yaml" \
+    --platform 127.0.0.1:20000 --node 127.0.0.1:20103 --wait 0 >"$out/apply.log" || [ $? -eq 7 ]
 }
 
 start_fleet() { # nodes
