Name the target latency in the words of the project

The word check of lint fails on: used the platform's name of the field outside platform/. Renamed only; its wire name between nodes (target_latency_ms) stays.

--- a/include/berylspur/owner/slot_scheduler.h
+++ b/include/berylspur/owner/slot_scheduler.h
@@ -27,7 +27,7 @@
     std::string route; ///< key for service time statistics
     TimePoint deadline;
     bool isNestedCall = false; ///< made by a request that runs at another endpoint
-    Duration targetLatency {}; ///< of its route; zero: none
+    Duration latencyTarget {}; ///< of its route; zero: none
 };
 
 /// Queue sizes, and switches for the simpler policies that benchmarks compare against.
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -127,7 +127,7 @@
             route.request_class() == schema::CLASS_LONG ? RequestClass::Long : RequestClass::Short;
     m_maxAttempts = route.attempts();
     m_priority = route.priority();
-    m_targetLatencyMs = route.target_latency_ms();
+    m_latencyTargetMs = route.target_latency_ms();
     const Duration limit = std::chrono::milliseconds(route.deadline_ms());
     m_deadline = m_arrived + std::min(limit, time.value().value_or(limit));
     m_customer = m_caller->header(config.customer_header());
@@ -352,7 +352,7 @@
     dispatch.set_caller_request_id(m_callerId);
     dispatch.set_caller_service(m_context.hostService);
     dispatch.set_priority(m_priority);
-    dispatch.set_target_latency_ms(m_targetLatencyMs);
+    dispatch.set_target_latency_ms(m_latencyTargetMs);
     dispatch.set_repeat(m_failedAttempts > 0);
     dispatch.set_is_call(m_isNestedCall);
     dispatch.set_method(m_caller->method());
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -123,7 +123,7 @@
     std::string m_service;
     std::string m_routeKey;
     std::uint32_t m_priority = 0;
-    std::uint32_t m_targetLatencyMs = 0; // 0: none
+    std::uint32_t m_latencyTargetMs = 0; // 0: none
     std::string m_customer;
     std::string m_key; // key of the idempotency record; empty without Idempotency-Key
     HeaderList m_headers;
--- a/src/owner/owner_task.cpp
+++ b/src/owner/owner_task.cpp
@@ -206,7 +206,7 @@
     queued.route = request.dispatch.route();
     queued.deadline = request.deadline;
     queued.isNestedCall = request.dispatch.is_call();
-    queued.targetLatency = std::chrono::milliseconds(request.dispatch.target_latency_ms());
+    queued.latencyTarget = std::chrono::milliseconds(request.dispatch.target_latency_ms());
     if (const auto refusal = endpoint.scheduler.enqueue(queued, now)) {
         refuse(*request.peer, request.dispatch, refusal->code, refusal->retryAfter, &endpoint);
         return;
--- a/src/owner/slot_scheduler.cpp
+++ b/src/owner/slot_scheduler.cpp
@@ -118,9 +118,9 @@
         return std::nullopt;
     if (now + wait > request.deadline)
         return Refusal {ErrorCode::NotRunDeadline, retryAfter};
-    const Duration waitLimit = request.targetLatency / MaxWaitDivisor;
+    const Duration waitLimit = request.latencyTarget / MaxWaitDivisor;
     // The refusal of a nested call wastes the run of its parent.
-    if (!isNestedCall && request.targetLatency > Duration::zero() && wait > waitLimit)
+    if (!isNestedCall && request.latencyTarget > Duration::zero() && wait > waitLimit)
         return Refusal {ErrorCode::NotRunQueueFull, std::max(wait - waitLimit, MinRetryAfter)};
     return std::nullopt;
 }
--- a/tests/owner_scheduler_test.cpp
+++ b/tests/owner_scheduler_test.cpp
@@ -447,7 +447,7 @@
         request.route = isNestedCall ? "call" : "bundle";
         request.deadline = now + 12s;
         request.isNestedCall = isNestedCall;
-        request.targetLatency = isNestedCall ? Duration(800ms) : Target;
+        request.latencyTarget = isNestedCall ? Duration(800ms) : Target;
         if (!isNestedCall)
             arrivals[request.id.bytes] = now;
         return !scheduler.enqueue(request, now).has_value();
