Refuse requests that arrive after a planned stop has ended

Cause: at the limit of the stop (5.7 s), or once no request is open, the node answers what is open, leaves the fleet and ends 100 ms later. In these 100 ms the gate still accepted and dispatched new requests, and the end of the process dropped them.

Ruled out: the end by SIGKILL (the connection closed 155 ms before it was due).

Change: the gate refuses new requests as not run before the node leaves.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -450,6 +450,9 @@
         log::warn("stop-limit-reached", {{"open", openRequests().dump()}});
         m_gate.finishOpenRequests();
     }
+    // A request that is accepted from here on would be dropped when the process ends.
+    constexpr bool RefuseNewRequests = true;
+    m_gate.stop(RefuseNewRequests);
     // With an integration no request carries a key, so there is nothing to hand over.
     if (isIntegrated())
         leave(true);
--- a/tests/process_platform_test.cpp
+++ b/tests/process_platform_test.cpp
@@ -4,6 +4,7 @@
 #include "process_fixture.h"
 
 #include <algorithm>
+#include <atomic>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
@@ -375,3 +376,42 @@
     BOOST_TEST(response.isComplete);
     BOOST_TEST(fleet.nodeProcess(0).waitForExit(seconds(10)).value_or(-1) == 0);
 }
+
+// Guards against a request that a stopping node accepts after it has answered the open ones, and
+// drops when its process ends.
+BOOST_AUTO_TEST_CASE(requests_at_the_end_of_a_stop_are_answered_or_do_not_run)
+{
+    constexpr int Callers = 4;
+    constexpr milliseconds StopLimit(1500);
+    auto options = platformFleet();
+    options.stopLimitMs = static_cast<int>(StopLimit.count());
+    options.slots = 2 * Callers;
+    Fleet fleet(options);
+    BOOST_REQUIRE_EQUAL(fleet.start(), "");
+    std::atomic<bool> hasExited = false;
+    // Each request takes longer than the time between the stop limit and the end of the process.
+    const auto sendUntilExit = [&](int caller) {
+        std::vector<std::string> unanswered;
+        for (int i = 0; !hasExited; ++i) {
+            const auto id = "stop-" + std::to_string(caller) + "-" + std::to_string(i);
+            const auto response =
+                    call(fleet.node(0).caller, "GET", "/read/x?work-ms=300", {idHeader(id)});
+            if (response.status == 0)
+                unanswered.push_back(id);
+        }
+        return unanswered;
+    };
+    std::vector<std::future<std::vector<std::string>>> callers;
+    for (int i = 0; i < Callers; ++i)
+        callers.push_back(std::async(std::launch::async, sendUntilExit, i));
+    std::this_thread::sleep_for(milliseconds(300));
+    fleet.nodeProcess(0).signal(SIGTERM);
+    const auto status = fleet.nodeProcess(0).waitForExit(seconds(20));
+    hasExited = true;
+    BOOST_TEST((status == 0));
+    for (auto &caller : callers) {
+        for (const auto &id : caller.get())
+            BOOST_TEST(fleet.runsOfId(id).started == 0, id);
+    }
+    BOOST_TEST(fleet.nodeLog(0).find("stop-limit-reached") != std::string::npos);
+}
