Log unsent responses at the end of a stop, and why a response was aborted

Change: `stopped` counts the connections with unsent output, to callers and to peers. `response aborted by CODE` names the end of the stream, and a failed peer connection is logged at info. No change of what is decided.

--- a/include/berylspur/gate/gate_task.h
+++ b/include/berylspur/gate/gate_task.h
@@ -44,6 +44,9 @@
     void finishOpenRequests();
     /// Number of requests whose response is not complete.
     std::size_t openRequests() const;
+    /// Number of caller connections with response bytes that are not yet written to the socket. The
+    /// request of such a response is no longer open.
+    std::size_t connectionsWithUnsentOutput() const;
     nlohmann::json dump() const;
     std::string metrics() const;
 
--- a/include/berylspur/http/caller_server.h
+++ b/include/berylspur/http/caller_server.h
@@ -44,6 +44,8 @@
     /// Closes each connection after its next response.
     void closeAfterResponses() { m_closesAfterResponse = true; }
     std::size_t connections() const { return m_connections.size(); }
+    /// Number of connections with response bytes that are not yet written to the socket.
+    std::size_t connectionsWithUnsentOutput() const;
 
 private:
     friend class CallerConnection;
--- a/include/berylspur/transport/peer.h
+++ b/include/berylspur/transport/peer.h
@@ -80,6 +80,8 @@
 
     virtual ~PeerServer() = default;
     virtual std::size_t connections() const = 0;
+    /// Number of connections with response bytes that are not yet written to the socket.
+    virtual std::size_t connectionsWithUnsentOutput() const = 0;
     /// Sends GOAWAY on all connections, so that peers open no new streams.
     virtual void drain() = 0;
 
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -491,7 +491,8 @@
             ++m_context.counters.aborted;
             reportNestedCallEnd(false);
             // Recorded like a refusal, although the request ran.
-            record(schema::DECISION_REFUSE, "response aborted", ErrorCode::AnswerTruncated);
+            record(schema::DECISION_REFUSE, "response aborted by " + std::string(errorName(code)),
+                   ErrorCode::AnswerTruncated);
             m_caller->abort();
         }
         complete();
--- a/src/gate/gate_task.cpp
+++ b/src/gate/gate_task.cpp
@@ -84,6 +84,10 @@
             request->finishForShutdown();
     }
     std::size_t openRequests() const { return m_openRequests.size(); }
+    std::size_t connectionsWithUnsentOutput() const
+    {
+        return m_callers.connectionsWithUnsentOutput();
+    }
     nlohmann::json dump();
     std::string metrics() const;
 
@@ -310,6 +314,11 @@
     return m_impl->openRequests();
 }
 
+std::size_t GateTask::connectionsWithUnsentOutput() const
+{
+    return m_impl->connectionsWithUnsentOutput();
+}
+
 nlohmann::json GateTask::dump() const
 {
     return m_impl->dump();
--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -294,7 +294,7 @@
         send(bytes);
         break;
     }
-    if (evbuffer_get_length(bufferevent_get_output(m_events)) == 0 && m_request)
+    if (!hasUnsentOutput() && m_request)
         m_request->connectionFlushed();
 }
 
@@ -314,10 +314,15 @@
     }
     m_state = State::Lingering;
     setTimer(LingerTimeout);
-    if (evbuffer_get_length(bufferevent_get_output(m_events)) == 0)
+    if (!hasUnsentOutput())
         shutdownWrite();
 }
 
+bool CallerConnection::hasUnsentOutput() const
+{
+    return evbuffer_get_length(bufferevent_get_output(m_events)) > 0;
+}
+
 void CallerConnection::enterIdle()
 {
     m_state = State::Idle;
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -28,6 +28,9 @@
     void finishResponse();
     void abort();
 
+    /// True if response bytes are not yet written to the socket.
+    bool hasUnsentOutput() const;
+
 private:
     enum class State { Idle, ReadingHead, ReadingBody, Responding, Lingering, Closed };
     enum class Framing { Length, Chunked, UntilClose, NoBody };
--- a/src/http/caller_server.cpp
+++ b/src/http/caller_server.cpp
@@ -3,6 +3,7 @@
 
 #include "caller_connection.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace berylspur {
@@ -37,6 +38,13 @@
     return success();
 }
 
+std::size_t CallerServer::connectionsWithUnsentOutput() const
+{
+    return static_cast<std::size_t>(
+            std::count_if(m_connections.begin(), m_connections.end(),
+                          [](const auto &item) { return item.first->hasUnsentOutput(); }));
+}
+
 void CallerServer::onAccept(evconnlistener *, evutil_socket_t fd, sockaddr *, int, void *self)
 {
     auto *server = static_cast<CallerServer *>(self);
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -98,6 +98,7 @@
     void beginStop();
     void pollStop();
     void leave(bool keysHandedOver);
+    void logStopped() const;
     nlohmann::json state();
     nlohmann::json openRequests();
     static void onSignal(evutil_socket_t, short, void *self)
@@ -152,7 +153,7 @@
       m_newFleetCheckTimer(m_base, [this] { checkFleetIsNew(); }),
       m_settingsTimer(m_base, [this] { checkSettingsFile(); }),
       m_stopTimer(m_base, [this] { pollStop(); }), m_leaveTimer(m_base, [this] {
-          log::info("stopped");
+          logStopped();
           event_base_loopbreak(m_base);
       })
 {
@@ -194,7 +195,7 @@
     });
     m_membership.joined.connect([this] { m_newFleetCheckTimer.start(NewFleetCheckDelay); });
     m_peers.channelFailed.connect([this](const Address &peer, TrafficClass, ErrorCode code) {
-        log::debug("peer-channel-failed", {{"peer", peer.toString()}, {"code", errorName(code)}});
+        log::info("peer-channel-failed", {{"peer", peer.toString()}, {"code", errorName(code)}});
         m_gate.onPeerConnectionFailed(peer);
     });
 }
@@ -476,6 +477,12 @@
     m_leaveTimer.start(isIntegrated() ? LeaveDelayWithoutRecords : LeaveDelayWithRecords);
 }
 
+void Node::Impl::logStopped() const
+{
+    log::info("stopped", {{"unsent-to-callers", m_gate.connectionsWithUnsentOutput()},
+                          {"unsent-to-peers", m_server->connectionsWithUnsentOutput()}});
+}
+
 nlohmann::json Node::Impl::openRequests()
 {
     nlohmann::json ids = nlohmann::json::array();
--- a/src/transport/http2_connection.cpp
+++ b/src/transport/http2_connection.cpp
@@ -219,6 +219,16 @@
     return found == m_outputs.end() ? 0 : found->second.bytes.size() - found->second.offset;
 }
 
+bool Http2Connection::hasUnsentOutput() const
+{
+    const auto isUnsent = [](const auto &item) {
+        const auto &output = item.second;
+        return output.finished || output.offset < output.bytes.size();
+    };
+    return evbuffer_get_length(bufferevent_get_output(m_buffer)) > 0
+           || std::any_of(m_outputs.begin(), m_outputs.end(), isUnsent);
+}
+
 ssize_t Http2Connection::readOutput(nghttp2_session *, std::int32_t stream, std::uint8_t *buffer,
                                     std::size_t length, std::uint32_t *flags,
                                     nghttp2_data_source *source, void *)
--- a/src/transport/http2_connection.h
+++ b/src/transport/http2_connection.h
@@ -62,6 +62,8 @@
     /// Returns \a bytes to the receive window of the stream.
     void consume(std::int32_t stream, std::size_t bytes);
     std::size_t pendingBytes(std::int32_t stream) const;
+    /// True if bytes passed to write() are not yet written to the socket.
+    bool hasUnsentOutput() const;
     bool isClosed() const { return m_closed; }
     bufferevent *buffer() const { return m_buffer; }
     Http2Listener *listener() const { return m_listener; }
--- a/src/transport/peer_server.cpp
+++ b/src/transport/peer_server.cpp
@@ -6,6 +6,7 @@
 #include "http2_connection.h"
 #include "peer_names.h"
 
+#include <algorithm>
 #include <array>
 #include <event2/listener.h>
 #include <netinet/tcp.h>
@@ -140,6 +141,12 @@
     }
 
     std::size_t connections() const override { return m_connections.size(); }
+    std::size_t connectionsWithUnsentOutput() const override
+    {
+        return static_cast<std::size_t>(std::count_if(
+                m_connections.begin(), m_connections.end(),
+                [](const auto &connection) { return connection->http().hasUnsentOutput(); }));
+    }
     void drain() override
     {
         for (const auto &connection : m_connections)
