--- a/tests/process_fixture.cpp
+++ b/tests/process_fixture.cpp
@@ -78,7 +78,9 @@
     }
 }
 
-Response parse(const std::string &raw, bool isHead, bool ended)
+} // namespace
+
+Response parseResponse(const std::string &raw, bool isHead, bool ended)
 {
     Response response;
     const auto end = raw.find("\r\n\r\n");
@@ -111,8 +113,6 @@
     return response;
 }
 
-} // namespace
-
 Process::Process(const std::string &program, const std::vector<std::string> &arguments,
                  const std::string &logFile)
 {
@@ -220,7 +220,7 @@
                 raw.append(buffer, static_cast<std::size_t>(n));
             ended = n == 0 || (n < 0 && errno != EAGAIN);
         }
-        response = parse(raw, isHead, ended);
+        response = parseResponse(raw, isHead, ended);
         if (response.isComplete)
             break;
     }
--- a/tests/process_fixture.h
+++ b/tests/process_fixture.h
@@ -53,6 +53,9 @@
     std::string header(const std::string &name) const;
 };
 
+/// Parses the bytes that a caller received. \a ended: the connection is closed.
+Response parseResponse(const std::string &raw, bool isHead, bool ended);
+
 /// Sends \a text to 127.0.0.1:\a port and reads one response. Gives up after \a limit.
 Response exchange(std::uint16_t port, const std::string &text,
                   std::chrono::milliseconds limit = std::chrono::seconds(30));
