Refuse new requests after the serving time of a stop, also while others are open

What callers saw: a request that a stopping node took 3 to 5 s after its SIGTERM got a 504 at the stop limit, while its endpoint worked on it.

Cause: Node::pollStop() refused new requests only when the node left. While any request was open, the serving time (2.5 s) had no effect, so a busy node took new requests up to its limit (5.7 s) and gave up those that were still running.

Change: PlannedStop decides, apart from input and output, which new requests are admitted: all during the serving time, then only nested calls of requests that run at the endpoint of this host, and of these only such whose deadline lies before the limit; none once the node leaves. A refusal says that the request has not run.

--- a/include/berylspur/gate/gate_task.h
+++ b/include/berylspur/gate/gate_task.h
@@ -5,6 +5,7 @@
 #include "berylspur/core/http_headers.h"
 #include "berylspur/core/ids.h"
 #include "berylspur/core/result.h"
+#include "berylspur/gate/stop_admission.h"
 #include "berylspur/manifest.pb.h"
 #include "berylspur/membership/membership_task.h"
 #include "berylspur/owner/nested_call_ended.h"
@@ -36,9 +37,9 @@
     void configure(const std::vector<const schema::ServiceConfig *> &changed);
     /// Marks the path to \a peer as failed after its connection failed.
     void onPeerConnectionFailed(const Address &peer);
-    /// Closes keep-alive connections after their next response; with \a refuse, also refuses new
-    /// requests.
-    void stop(bool refuse);
+    /// Closes keep-alive connections after their next response, and accepts new requests only as
+    /// \a stop admits them. May be called again with other values.
+    void stop(const GateStop &stop);
 
     /// Responds to all open requests because the process is about to exit.
     void finishOpenRequests();
--- a/src/gate/gate_context.h
+++ b/src/gate/gate_context.h
@@ -3,6 +3,7 @@
 
 #include "berylspur/core/http_headers.h"
 #include "berylspur/core/metrics.h"
+#include "berylspur/gate/stop_admission.h"
 #include "berylspur/http/caller_request.h"
 #include "berylspur/idempotency/key_home.h"
 #include "berylspur/limits/rate_limiter.h"
@@ -68,6 +69,7 @@
     std::unordered_map<std::string, std::vector<std::weak_ptr<GateRequest>>> leaseWaiters;
     std::unordered_map<std::string, RetryBudget> retryBudgets; // by service
     GateCounters counters;
+    GateStop stop; // admits all requests unless the node stops
     std::function<void(schema::DecisionRecord)> onDecision;
     /// True if the request with this id is a nested call, that is, a request that the endpoint
     /// on this host sends while it serves another request.
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -88,6 +88,10 @@
     }
     if (!matchRoute())
         return;
+    if (!isAdmitted(m_context.stop, m_isNestedCall, m_deadline)) {
+        refuse(ErrorCode::NotRunStopping);
+        return;
+    }
     m_deadlineTimer.start(m_deadline - m_arrived);
     m_headers = forwardedHeaders();
     m_body = m_caller->takeBody();
--- a/src/gate/gate_task.cpp
+++ b/src/gate/gate_task.cpp
@@ -70,10 +70,10 @@
     Result<void> start();
     void configure(const std::vector<const schema::ServiceConfig *> &changed);
     void onPeerConnectionFailed(const Address &peer);
-    void stop(bool refuse)
+    void stop(const GateStop &stop)
     {
         m_stopping = true;
-        m_refusesNewRequests = m_refusesNewRequests || refuse;
+        m_context.stop = stop;
         m_callers.closeAfterResponses();
     }
     void finishOpenRequests()
@@ -115,7 +115,6 @@
     std::vector<std::shared_ptr<GateRequest>> m_finishedRequests;
     bool m_hasConfiguration = false;
     bool m_stopping = false;
-    bool m_refusesNewRequests = false;
 };
 
 Result<void> GateTask::Impl::start()
@@ -134,9 +133,7 @@
     auto gateRequest = std::make_shared<GateRequest>(
             m_context, std::move(caller), [this](GateRequest *ended) { release(ended); });
     m_openRequests.emplace(gateRequest.get(), gateRequest);
-    if (m_refusesNewRequests) {
-        gateRequest->refuse(ErrorCode::NotRunStopping);
-    } else if (!m_hasConfiguration) {
+    if (!m_hasConfiguration) {
         gateRequest->refuse(ErrorCode::NotRunNoConfiguration);
     } else if (m_openRequests.size() > m_maxOpenRequests) {
         gateRequest->refuse(ErrorCode::NotRunGateBusy);
@@ -299,9 +296,9 @@
     m_impl->onPeerConnectionFailed(peer);
 }
 
-void GateTask::stop(bool refuse)
+void GateTask::stop(const GateStop &stop)
 {
-    m_impl->stop(refuse);
+    m_impl->stop(stop);
 }
 
 void GateTask::finishOpenRequests()
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -10,6 +10,7 @@
 #include "berylspur/core/timer.h"
 #include "berylspur/gate/gate_task.h"
 #include "berylspur/membership/membership_task.h"
+#include "berylspur/node/planned_stop.h"
 #include "berylspur/owner/owner_task.h"
 #include "berylspur/record/decision_log.h"
 #include "berylspur/record/decision_logging.h"
@@ -94,7 +95,7 @@
     /// Reloads the settings that can change at runtime. \a cause is logged.
     void reload(const char *cause);
     void checkSettingsFile();
-    void applyStopTimes();
+    StopTimes stopTimes() const;
     void beginStop();
     void pollStop();
     void leave(bool keysHandedOver);
@@ -130,10 +131,7 @@
     Timer m_stopTimer;
     Timer m_leaveTimer;
     event *m_signals[3] = {};
-    bool m_stopping = false;
-    TimePoint m_stopBegan;
-    Duration m_stopLimit; // maximum duration of the planned stop
-    Duration m_stopServing; // new requests are accepted for this long after the signal
+    std::optional<PlannedStop> m_stop; // set once a planned stop has begun
 };
 
 Node::Impl::Impl(schema::NodeSettings settings, std::string settingsFile)
@@ -158,7 +156,6 @@
       })
 {
     log::attach(m_base);
-    applyStopTimes();
     connectTasks();
     addAdminPages();
 }
@@ -261,9 +258,7 @@
         return m_owner.announce(announcement);
     };
     handlers.onWithdrawal = [this](const Withdrawal &withdrawal) { m_owner.withdraw(withdrawal); };
-    handlers.isReady = [this] {
-        return !m_stopping && m_config.isReady() && m_membership.isJoined();
-    };
+    handlers.isReady = [this] { return !m_stop && m_config.isReady() && m_membership.isJoined(); };
     m_heartbeatServer = std::make_unique<platform::HeartbeatServer>(m_base, std::move(handlers));
     if (auto listening = m_heartbeatServer->listen(parseChecked(m_settings.addresses().announce()));
         !listening)
@@ -370,15 +365,17 @@
     });
 }
 
-void Node::Impl::applyStopTimes()
+StopTimes Node::Impl::stopTimes() const
 {
     const auto &integration = m_settings.integration();
-    m_stopServing = parseDuration(integration.stop_serving()).value_or(Duration::zero());
-    m_stopLimit = std::chrono::milliseconds(m_settings.limits().stop_limit_ms());
+    StopTimes times;
+    times.serving = parseDuration(integration.stop_serving()).value_or(Duration::zero());
+    times.limit = std::chrono::milliseconds(m_settings.limits().stop_limit_ms());
     if (!isIntegrated())
-        return;
-    const auto grace = parseDuration(integration.grace_period()).value_or(m_stopLimit);
-    m_stopLimit = std::min(m_stopLimit, grace - std::min(grace, GracePeriodMargin));
+        return times;
+    const auto grace = parseDuration(integration.grace_period()).value_or(times.limit);
+    times.limit = std::min(times.limit, grace - std::min(grace, GracePeriodMargin));
+    return times;
 }
 
 void Node::Impl::checkSettingsFile()
@@ -416,7 +413,8 @@
     *m_settings.mutable_integration() = next.integration();
     m_settings.mutable_limits()->set_stop_limit_ms(next.limits().stop_limit_ms());
     log::setLevel(log::levelFromName(m_settings.log().level()));
-    applyStopTimes();
+    if (m_stop)
+        m_stop->setTimes(stopTimes());
     log::info("reloaded", {{"cause", cause},
                            {"changed", changed ? "yes" : "no"},
                            {"needs-restart", needsRestart ? "yes" : "no"}});
@@ -424,36 +422,32 @@
 
 void Node::Impl::beginStop()
 {
-    if (std::exchange(m_stopping, true)) {
+    if (m_stop) {
         log::warn("stopped-at-once", {{"open", openRequests().dump()}});
         event_base_loopbreak(m_base);
         return;
     }
     log::info("stop-began", {{"gate", m_gate.openRequests()}, {"owner", m_owner.openRequests()}});
-    m_stopBegan = BootClock::now();
+    m_stop.emplace(stopTimes(), BootClock::now());
     m_owner.stop();
-    m_gate.stop(m_stopServing == Duration::zero());
     pollStop();
 }
 
 void Node::Impl::pollStop()
 {
-    const auto open = m_owner.openRequests() + m_gate.openRequests();
-    const auto elapsed = BootClock::now() - m_stopBegan;
-    const bool overdue = elapsed > m_stopLimit;
-    // Callers need some time to notice that the node is not ready and are served until then.
-    const bool serving = elapsed < m_stopServing;
-    if ((open > 0 || serving) && !overdue) {
+    const auto now = BootClock::now();
+    const UnfinishedWork work {m_owner.openRequests() + m_gate.openRequests()};
+    m_gate.stop(m_stop->gateStop(now));
+    if (!m_stop->mayLeave(work, now)) {
         m_stopTimer.start(StopPollInterval);
         return;
     }
-    if (open > 0) {
+    if (work.openRequests > 0) {
         log::warn("stop-limit-reached", {{"open", openRequests().dump()}});
         m_gate.finishOpenRequests();
     }
     // A request that is accepted from here on would be dropped when the process ends.
-    constexpr bool RefuseNewRequests = true;
-    m_gate.stop(RefuseNewRequests);
+    m_gate.stop({StopAdmission::None, now});
     // With an integration no request carries a key, so there is nothing to hand over.
     if (isIntegrated())
         leave(true);
@@ -523,7 +517,7 @@
             {"incarnation", m_incarnation},
             {"revision", m_config.store().revision()},
             {"ready", m_config.isReady()},
-            {"stopping", m_stopping},
+            {"stopping", m_stop.has_value()},
             {"open", openRequests()},
             {"services", services},
             {"members", members},
