Let a planned stop wait until responses to callers are sent

What callers saw: a response that was cut 0.17 s after its run had ended, at a node 3.7 s after its SIGTERM (the operators' record).

Cause: the gate forgets a request as soon as the connection has taken the last bytes of its response, which may still be in the output buffer of the process, up to a stream window for a slow reader. The node took that for finished work and ended 50 to 150 ms later. The same holds for refusals that are written while the node leaves.

The time of the record (one poll of 50 ms and the leave delay of 100 ms) fits; the record itself does not show the buffer.

Change: connections with unsent output count as unfinished work of a stop, before the node leaves and before it ends, within the limit.

--- a/include/berylspur/node/planned_stop.h
+++ b/include/berylspur/node/planned_stop.h
@@ -21,6 +21,8 @@
 struct UnfinishedWork
 {
     std::size_t openRequests = 0; ///< at the gate and at the endpoints of this host
+    /// Connections with response bytes in the buffers of this process; their requests are not open.
+    std::size_t unsentResponses = 0;
 };
 
 /// Times are measured from \a began, the arrival of the signal.
@@ -36,6 +38,9 @@
     /// True once the node may leave the fleet and end: it accepts no more requests and has finished
     /// its work, or the limit is reached.
     bool mayLeave(const UnfinishedWork &work, TimePoint now) const;
+    /// True once a node that left the fleet may end: refusals that it sent meanwhile are sent
+    /// completely, or the limit is reached.
+    bool mayEnd(const UnfinishedWork &work, TimePoint now) const;
 
 private:
     bool isServing(TimePoint now) const { return now - m_began < m_times.serving; }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -99,7 +99,8 @@
     void beginStop();
     void pollStop();
     void leave(bool keysHandedOver);
-    void logStopped() const;
+    void endStop();
+    UnfinishedWork unfinishedWork() const;
     nlohmann::json state();
     nlohmann::json openRequests();
     static void onSignal(evutil_socket_t, short, void *self)
@@ -150,10 +151,7 @@
       m_records(m_base, m_decisions, m_platform), m_admin(m_base),
       m_newFleetCheckTimer(m_base, [this] { checkFleetIsNew(); }),
       m_settingsTimer(m_base, [this] { checkSettingsFile(); }),
-      m_stopTimer(m_base, [this] { pollStop(); }), m_leaveTimer(m_base, [this] {
-          logStopped();
-          event_base_loopbreak(m_base);
-      })
+      m_stopTimer(m_base, [this] { pollStop(); }), m_leaveTimer(m_base, [this] { endStop(); })
 {
     log::attach(m_base);
     connectTasks();
@@ -436,7 +434,7 @@
 void Node::Impl::pollStop()
 {
     const auto now = BootClock::now();
-    const UnfinishedWork work {m_owner.openRequests() + m_gate.openRequests()};
+    const auto work = unfinishedWork();
     m_gate.stop(m_stop->gateStop(now));
     if (!m_stop->mayLeave(work, now)) {
         m_stopTimer.start(StopPollInterval);
@@ -471,10 +469,20 @@
     m_leaveTimer.start(isIntegrated() ? LeaveDelayWithoutRecords : LeaveDelayWithRecords);
 }
 
-void Node::Impl::logStopped() const
+UnfinishedWork Node::Impl::unfinishedWork() const
 {
+    return {m_owner.openRequests() + m_gate.openRequests(), m_gate.connectionsWithUnsentOutput()};
+}
+
+void Node::Impl::endStop()
+{
+    if (!m_stop->mayEnd(unfinishedWork(), BootClock::now())) {
+        m_leaveTimer.start(StopPollInterval);
+        return;
+    }
     log::info("stopped", {{"unsent-to-callers", m_gate.connectionsWithUnsentOutput()},
                           {"unsent-to-peers", m_server->connectionsWithUnsentOutput()}});
+    event_base_loopbreak(m_base);
 }
 
 nlohmann::json Node::Impl::openRequests()
--- a/src/node/planned_stop.cpp
+++ b/src/node/planned_stop.cpp
@@ -13,7 +13,12 @@
 {
     if (isOverdue(now))
         return true;
-    return !isServing(now) && work.openRequests == 0;
+    return !isServing(now) && work.openRequests == 0 && work.unsentResponses == 0;
+}
+
+bool PlannedStop::mayEnd(const UnfinishedWork &work, TimePoint now) const
+{
+    return work.unsentResponses == 0 || isOverdue(now);
 }
 
 } // namespace berylspur
--- a/tests/http_caller_test.cpp
+++ b/tests/http_caller_test.cpp
@@ -303,3 +303,26 @@
     BOOST_TEST(loop.runUntil([&] { return !caller.read(); }));
     BOOST_TEST(!caller.wasReset);
 }
+
+// Guards against a planned stop that takes a response for sent while its end is still in the output
+// buffer of the connection.
+BOOST_FIXTURE_TEST_CASE(unsent_output_is_reported_until_the_caller_reads, Fixture)
+{
+    constexpr std::size_t BodyBytes = 32u << 20; // more than the kernel's buffers take
+    answer = [](CallerRequest &request) { request.respond(200, {}, std::string(BodyBytes, 'x')); };
+    RawCaller caller(address);
+    BOOST_TEST(server.connectionsWithUnsentOutput() == 0U);
+    caller.send(Get + "\r\n");
+    BOOST_REQUIRE(loop.runUntil([&] { return requests.size() == 1; }));
+    BOOST_TEST(server.connectionsWithUnsentOutput() == 1U);
+    BOOST_TEST(loop.runUntil([&] {
+        while (caller.received.size() < BodyBytes) {
+            const auto before = caller.received.size();
+            caller.read();
+            if (caller.received.size() == before)
+                break;
+        }
+        return caller.received.size() >= BodyBytes;
+    }));
+    BOOST_TEST(server.connectionsWithUnsentOutput() == 0U);
+}
--- a/tests/planned_stop_test.cpp
+++ b/tests/planned_stop_test.cpp
@@ -56,10 +56,12 @@
 }
 
 const LeaveCase LeaveCases[] = {
-        {"a node leaves while callers still send requests", milliseconds(2499), {0}, false},
-        {"a stop takes longer than its work", milliseconds(2500), {0}, true},
-        {"a node leaves before it has answered its requests", milliseconds(2500), {1}, false},
-        {"a stop waits beyond its limit", milliseconds(5701), {1}, true},
+        {"a node leaves while callers still send requests", milliseconds(2499), {0, 0}, false},
+        {"a stop takes longer than its work", milliseconds(2500), {0, 0}, true},
+        {"a node leaves before it has answered its requests", milliseconds(2500), {1, 0}, false},
+        {"a node leaves before it has sent its responses", milliseconds(2500), {0, 1}, false},
+        {"a stop waits beyond its limit", milliseconds(5701), {1, 0}, true},
+        {"a stop waits beyond its limit for a slow reader", milliseconds(5701), {0, 1}, true},
 };
 
 } // namespace
@@ -79,6 +81,16 @@
     BOOST_TEST(stop.mayLeave(sample.work, Began + sample.elapsed) == sample.mayLeave);
 }
 
+// Guards against a node that ends before a refusal from its last moments is sent, and against one
+// that waits for a slow reader beyond its limit.
+BOOST_AUTO_TEST_CASE(node_ends_when_its_responses_are_sent)
+{
+    const PlannedStop stop(Times, Began);
+    BOOST_TEST(!stop.mayEnd({0, 1}, Began + seconds(3)));
+    BOOST_TEST(stop.mayEnd({0, 0}, Began + seconds(3)));
+    BOOST_TEST(stop.mayEnd({0, 1}, Began + milliseconds(5701)));
+}
+
 // Guards against requests that are accepted while the node ends.
 BOOST_AUTO_TEST_CASE(nothing_is_admitted_while_the_node_leaves)
 {
