Let a planned stop wait until responses to peers are sent

What callers would see: a response cut in the middle because the node beside the endpoint stops.

Cause: as at the gate. The owner forgets a request once the peer transport has taken the response, up to 1 MiB of it, which leaves in stream windows of 64 KiB as fast as the caller reads. The node took that for finished work and ended.

Change: peer connections with unsent output count as unfinished work of a stop too.

--- a/include/berylspur/node/planned_stop.h
+++ b/include/berylspur/node/planned_stop.h
@@ -21,7 +21,8 @@
 struct UnfinishedWork
 {
     std::size_t openRequests = 0; ///< at the gate and at the endpoints of this host
-    /// Connections with response bytes in the buffers of this process; their requests are not open.
+    /// Connections of callers and peers with response bytes in the buffers of this process; their
+    /// requests are not open.
     std::size_t unsentResponses = 0;
 };
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -471,7 +471,8 @@
 
 UnfinishedWork Node::Impl::unfinishedWork() const
 {
-    return {m_owner.openRequests() + m_gate.openRequests(), m_gate.connectionsWithUnsentOutput()};
+    return {m_owner.openRequests() + m_gate.openRequests(),
+            m_gate.connectionsWithUnsentOutput() + m_server->connectionsWithUnsentOutput()};
 }
 
 void Node::Impl::endStop()
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -10,6 +10,7 @@
 #include <boost/test/unit_test.hpp>
 #include <event2/listener.h>
 #include <memory>
+#include <utility>
 
 using namespace berylspur;
 
@@ -73,6 +74,39 @@
     BOOST_TEST(channel->peerIncarnation() == 7U);
 }
 
+// Guards against a planned stop that takes a response for sent while flow control still holds its
+// end back.
+BOOST_AUTO_TEST_CASE(unsent_output_is_reported_until_the_peer_consumes_it)
+{
+    Loop loop;
+    const auto address = freeAddress();
+    const std::string body(2 * StreamWindowBytes, 'x');
+    auto server = PeerServer::listen(loop.base, address, ServerIdentity,
+                                     [&](const std::shared_ptr<PeerRequest> &request) {
+                                         request->reply("reply");
+                                         request->write(body);
+                                         request->finish();
+                                     });
+    BOOST_REQUIRE(server.has_value());
+    const auto channel = PeerChannel::connect(loop.base, address, ClientIdentity);
+    ReceivedResponse response;
+    const auto exchange =
+            channel->start(PeerMethod::Ask, emptyEnvelope, "", response.handler(nullptr));
+    const auto hasReceivedWindow = [&] {
+        return response.payload.size() + StreamWindowBytes / 2 > StreamWindowBytes;
+    };
+    BOOST_REQUIRE(loop.runUntil(hasReceivedWindow));
+    BOOST_TEST(server.value()->connectionsWithUnsentOutput() == 1U);
+    std::size_t consumed = 0;
+    const auto hasConsumedAll = [&] {
+        exchange->consume(response.payload.size()
+                          - std::exchange(consumed, response.payload.size()));
+        return response.ended.has_value();
+    };
+    BOOST_TEST(loop.runUntil(hasConsumedAll));
+    BOOST_TEST(server.value()->connectionsWithUnsentOutput() == 0U);
+}
+
 // Guards against a truncated response that is reported as complete.
 BOOST_AUTO_TEST_CASE(aborted_response_is_reported_as_truncated)
 {
