Ignore a further SIGTERM during a planned stop

What callers would see: with overlapping maintenance a node gets SIGTERM twice, and all its open requests end without a response.

Cause: a second SIGTERM or SIGINT ended the event loop at once.

Change: a further SIGTERM is logged and changes nothing: the platform sends SIGKILL when it wants the process to end. A second SIGINT still ends the node at once, for an operator at a terminal.

Test: a_second_sigterm_does_not_interrupt_a_planned_stop, no response to the open request before, 200 now.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -97,16 +97,15 @@
     void checkSettingsFile();
     StopTimes stopTimes() const;
     void beginStop();
+    /// SIGINT begins a planned stop; a second one, from an operator at a terminal, ends it.
+    void onInterrupt();
     void pollStop();
     void leave(bool keysHandedOver);
     void endStop();
     UnfinishedWork unfinishedWork() const;
     nlohmann::json state();
     nlohmann::json openRequests();
-    static void onSignal(evutil_socket_t, short, void *self)
-    {
-        static_cast<Impl *>(self)->beginStop();
-    }
+    void stopAtOnce();
 
     schema::NodeSettings m_settings;
     std::string m_settingsFile; // not reloaded if empty
@@ -214,8 +213,14 @@
     m_config.start();
     if (!isIntegrated())
         m_records.start();
-    m_signals[0] = evsignal_new(m_base, SIGTERM, onSignal, this);
-    m_signals[1] = evsignal_new(m_base, SIGINT, onSignal, this);
+    m_signals[0] = evsignal_new(
+            m_base, SIGTERM,
+            [](evutil_socket_t, short, void *self) { static_cast<Impl *>(self)->beginStop(); },
+            this);
+    m_signals[1] = evsignal_new(
+            m_base, SIGINT,
+            [](evutil_socket_t, short, void *self) { static_cast<Impl *>(self)->onInterrupt(); },
+            this);
     m_signals[2] = evsignal_new(
             m_base, SIGHUP,
             [](evutil_socket_t, short, void *self) { static_cast<Impl *>(self)->reload("signal"); },
@@ -421,8 +426,7 @@
 void Node::Impl::beginStop()
 {
     if (m_stop) {
-        log::warn("stopped-at-once", {{"open", openRequests().dump()}});
-        event_base_loopbreak(m_base);
+        log::info("stop-already-began");
         return;
     }
     log::info("stop-began", {{"gate", m_gate.openRequests()}, {"owner", m_owner.openRequests()}});
@@ -431,6 +435,20 @@
     pollStop();
 }
 
+void Node::Impl::onInterrupt()
+{
+    if (m_stop)
+        stopAtOnce();
+    else
+        beginStop();
+}
+
+void Node::Impl::stopAtOnce()
+{
+    log::warn("stopped-at-once", {{"open", openRequests().dump()}});
+    event_base_loopbreak(m_base);
+}
+
 void Node::Impl::pollStop()
 {
     const auto now = BootClock::now();
