Share the refusal of invalid requests between two servers

Cause: heartbeat_server.cpp and announce_server.cpp each had the rule that an invalid request is answered with the status of its error and that its connection is closed after the response. Change: refuseInvalidRequest() in http/request_refusal.h. Log events, their fields and the response bodies differ between the two servers and stay there.

--- a/src/owner/announce_server.cpp
+++ b/src/owner/announce_server.cpp
@@ -4,7 +4,7 @@
 #include "berylspur/core/enum_table.h"
 #include "berylspur/core/json_number.h"
 #include "berylspur/core/log.h"
-#include "berylspur/http/request_status.h"
+#include "berylspur/http/request_refusal.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -23,12 +23,11 @@
 
 constexpr std::string_view AnnouncePath = "/announce";
 
-/// Refuses \a request with the status of \a error and closes its connection.
 void refuse(CallerRequest &request, const Error &error)
 {
-    log::warn("announcement-refused", {{"reason", describe(error)}});
-    request.closeAfterResponse();
-    request.respond(statusOfInvalidRequest(error.code), {}, describe(error));
+    const auto reason = describe(error);
+    log::warn("announcement-refused", {{"reason", reason}});
+    refuseInvalidRequest(request, error, reason);
 }
 
 } // namespace
