--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -161,7 +161,6 @@
     std::uint32_t m_status = 0; // of the response to the caller; 0: not started
     bool m_streaming = false; // the response to the caller has started
     std::size_t m_unflushed = 0; // response bytes not yet written to the caller's socket
-    bool m_refused = false; // the last dispatch was answered with an error code; not read
     bool m_askIsAboutFirstUse = false; // the ask is about an earlier request with the same key
     RequestId m_askId;
     std::string m_askNode;
