--- a/tests/process_stop_test.cpp
+++ b/tests/process_stop_test.cpp
@@ -1,223 +1,157 @@
-// Planned stops of nodes on the platform, with real processes: requests that arrive during a stop,
-// responses that are still being sent, and repeated signals.
+// Invariants 5 and 6 of the design with real processes: draining endpoints and planned stops.
 #define BOOST_TEST_MODULE process_stop
-#include "process_fixture.h"
-
-#include <arpa/inet.h>
-#include <boost/test/unit_test.hpp>
-#include <csignal>
-#include <future>
-#include <memory>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-#include <thread>
-#include <unistd.h>
-#include <vector>
+#include "process_actions.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <sstream>
 
 using namespace berylspur::test;
-using std::chrono::milliseconds;
+using nlohmann::json;
 using std::chrono::seconds;
 
 namespace {
 
-/// The fixture's stop-serving time, and the polls and scheduling of a loaded machine.
-constexpr milliseconds RefusalDelay(1000);
-
-FleetOptions platformFleet()
-{
-    FleetOptions options;
-    options.onPlatform = true;
-    return options;
-}
-
-std::string idHeader(const std::string &id)
+std::string idOfKey(const Fleet &fleet, const std::string &key)
 {
-    return "X-Request-Id: " + id;
-}
-
-/// A caller that does not read its response until it is told to. Small segments and a small receive
-/// buffer keep most of the response at the node's side.
-class SlowCaller
-{
-public:
-    SlowCaller(std::uint16_t port, const std::string &target, const std::string &id)
-        : m_fd(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
-    {
-        const int receiveBufferBytes = 4096;
-        const int segmentBytes = 536;
-        setsockopt(m_fd, SOL_SOCKET, SO_RCVBUF, &receiveBufferBytes, sizeof receiveBufferBytes);
-        setsockopt(m_fd, IPPROTO_TCP, TCP_MAXSEG, &segmentBytes, sizeof segmentBytes);
-        sockaddr_in address {};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(port);
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        connect(m_fd, reinterpret_cast<const sockaddr *>(&address), sizeof address);
-        const auto text =
-                "GET " + target + " HTTP/1.1\r\nHost: svc.example\r\n" + idHeader(id) + "\r\n\r\n";
-        send(m_fd, text.data(), text.size(), MSG_NOSIGNAL);
-    }
-    ~SlowCaller() { close(m_fd); }
-    SlowCaller(const SlowCaller &) = delete;
-    SlowCaller &operator=(const SlowCaller &) = delete;
-
-    /// Reads once. Returns false at the end of the connection.
-    bool readStep()
-    {
-        char buffer[2048];
-        const auto size = recv(m_fd, buffer, sizeof buffer, 0);
-        if (size > 0)
-            m_received.append(buffer, static_cast<std::size_t>(size));
-        m_hasEnded = size <= 0;
-        return !m_hasEnded;
-    }
-    /// Reads the rest of the response.
-    Response readAll()
-    {
-        while (!response().isComplete && readStep()) {
+    for (int i = 0; i < fleet.nodeCount(); ++i) {
+        for (const json &line : readLines(fleet.directory() / ("runs-" + std::to_string(i)))) {
+            if (line["key"] == key)
+                return line["id"];
         }
-        return response();
     }
-
-private:
-    Response response() const { return parseResponse(m_received, false, m_hasEnded); }
-
-    int m_fd;
-    std::string m_received;
-    bool m_hasEnded = false;
-};
-
-std::string longTarget(int bytes)
-{
-    return "/long/x?work-ms=1&bytes=" + std::to_string(bytes);
+    return "no request with the key " + key;
 }
 
-/// True if the gate of node 0 forgets its only request while the caller reads nothing.
-bool isForgottenUnread(const Fleet &fleet)
+struct DrainCase
 {
-    return waitFor([&fleet] { return fleet.state(0)["open"]["gate"] == 0; }, milliseconds(400));
-}
+    const char *name;
+    bool ignoresDrain; ///< the endpoint keeps accepting new requests
+    bool node1MissesDrain; ///< node 1 receives nothing from the owner while the endpoint drains
+    bool killsNode;
+};
 
-/// The smallest response, to within a quarter of a stream window, that the gate of node 0 still
-/// holds while the caller reads nothing. The ends of slightly smaller ones are in the output buffer
-/// of the connection, because the kernel's buffers are full.
-int smallestHeldResponse(const Fleet &fleet)
+std::ostream &operator<<(std::ostream &out, const DrainCase &sample)
 {
-    constexpr int Resolution = 16 << 10;
-    int forgotten = 0;
-    int held = 16 << 20;
-    while (held - forgotten > Resolution) {
-        const int bytes = (forgotten + held) / 2;
-        SlowCaller caller(fleet.node(0).caller, longTarget(bytes), "size-" + std::to_string(bytes));
-        if (caller.readStep() && isForgottenUnread(fleet))
-            forgotten = bytes;
-        else
-            held = bytes;
-    }
-    return held;
+    return out << sample.name;
 }
 
+const DrainCase DrainCases[] = {
+        {"announced", false, false, false},
+        {"announced-and-would-run", true, false, false},
+        {"announced-to-one-side", true, true, false},
+        {"node-killed", true, false, true},
+        {"node-killed-after-announcement", true, true, true},
+};
+
 } // namespace
 
-// Guards against a stopping node with an open request that accepts new requests after the time in
-// which callers learn that it is not ready, and gives them up at its stop limit.
-BOOST_AUTO_TEST_CASE(open_requests_do_not_extend_the_time_in_which_a_stopping_node_accepts_requests)
+// Invariant 5. Guards against new requests at a draining endpoint, also if one node did not learn
+// of the drain or the node on the endpoint's host is down.
+BOOST_DATA_TEST_CASE(draining_endpoint_gets_no_new_requests,
+                     boost::unit_test::data::make(DrainCases))
 {
-    Fleet fleet(platformFleet());
+    FleetOptions options;
+    options.links = true;
+    Fleet fleet(options);
     BOOST_REQUIRE_EQUAL(fleet.start(), "");
-    auto open = std::async(std::launch::async, [&fleet] {
-        return call(fleet.node(0).caller, "GET", "/long/x?work-ms=3500", {idHeader("open")});
-    });
-    BOOST_REQUIRE(waitFor([&fleet] { return fleet.runningOn("open").has_value(); }));
-    fleet.nodeProcess(0).signal(SIGTERM);
-    std::this_thread::sleep_for(RefusalDelay);
-    int refused = 0;
-    for (int i = 0; i < 5; ++i) {
-        const auto id = "late-" + std::to_string(i);
-        const auto response =
-                call(fleet.node(0).caller, "POST", "/write/x?work-ms=1", {idHeader(id)}, "b");
-        refused += response.status == 503 && fleet.runsOfId(id).started == 0 ? 1 : 0;
-        std::this_thread::sleep_for(milliseconds(100));
-    }
-    BOOST_TEST(refused == 5);
-    BOOST_TEST(open.get().status == 200);
-    BOOST_TEST(fleet.nodeProcess(0).waitForExit(seconds(10)).value_or(-1) == 0);
+    const auto serveSome = [&](int count) {
+        for (int i = 0; i < count; ++i)
+            call(fleet.node(i % 2).caller, "GET", "/read?work-ms=1");
+    };
+    serveSome(40);
+    const auto loggedEvents = [&] { return readLines(fleet.directory() / "runs-2").size(); };
+    BOOST_REQUIRE(loggedEvents() > 0);
+    if (sample.node1MissesDrain)
+        fleet.link(1, "/mode?set=drop-forward");
+    fleet.setFaults(2, {{"ignore-drain", sample.ignoresDrain}});
+    call(fleet.endpointPort(2), "POST", "/state", {}, R"({"state":"draining"})");
+    if (sample.killsNode)
+        killOwner(fleet);
+    // The nodes that can learn of the drain take the endpoint out of rotation.
+    const auto isOut = [&](int i) { return fleet.verdict(i, fleet.endpointId(2)) != "in"; };
+    BOOST_TEST(waitFor([&] { return isOut(0) && (sample.node1MissesDrain || isOut(1)); }));
+    const auto before = loggedEvents();
+    serveSome(40);
+    BOOST_TEST(loggedEvents() == before);
 }
 
-// Guards against a stopping node that refuses the nested calls of requests which still run at its
-// endpoint, so that these requests fail.
-BOOST_AUTO_TEST_CASE(a_stopping_node_serves_nested_calls_of_running_requests)
+namespace {
+
+enum class StopTarget { Owner, Gate, Endpoint };
+
+struct StopCase
 {
-    Fleet fleet(platformFleet());
-    BOOST_REQUIRE_EQUAL(fleet.start(), "");
-    auto parent = std::async(std::launch::async, [&fleet] {
-        return call(fleet.node(0).caller, "GET", "/long/x?work-ms=3000", {idHeader("parent")});
-    });
-    BOOST_REQUIRE(waitFor([&fleet] { return fleet.runningOn("parent").has_value(); }));
-    const int host = *fleet.runningOn("parent");
-    fleet.nodeProcess(host).signal(SIGTERM);
-    std::this_thread::sleep_for(RefusalDelay);
-    const auto nested = call(fleet.node(host).caller, "GET", "/read/x?work-ms=1",
-                             {idHeader("parent.1"), "X-Deadline-Ms: 1000"});
-    BOOST_TEST(nested.status == 200);
-    BOOST_TEST(parent.get().status == 200);
-}
+    const char *name;
+    StopTarget target;
+    const char *query;
+};
 
-// Guards against a stopping node that ends while the last bytes of a response are still in its
-// output buffer: the gate forgets a request once the connection has taken its response.
-BOOST_AUTO_TEST_CASE(a_stopping_node_sends_complete_responses_to_slow_callers)
+std::ostream &operator<<(std::ostream &out, const StopCase &sample)
 {
-    Fleet fleet(platformFleet());
-    BOOST_REQUIRE_EQUAL(fleet.start(), "");
-    constexpr int QuarterWindowBytes = 16 << 10;
-    const int held = smallestHeldResponse(fleet);
-    std::vector<std::unique_ptr<SlowCaller>> callers;
-    for (int i = 1; i <= 3; ++i) {
-        callers.push_back(std::make_unique<SlowCaller>(fleet.node(0).caller,
-                                                       longTarget(held - i * QuarterWindowBytes),
-                                                       "slow-" + std::to_string(i)));
-        BOOST_REQUIRE(callers.back()->readStep());
-    }
-    BOOST_REQUIRE(isForgottenUnread(fleet));
-    fleet.nodeProcess(0).signal(SIGTERM);
-    std::this_thread::sleep_for(seconds(2));
-    for (const auto &caller : callers)
-        BOOST_TEST(caller->readAll().isComplete);
-    BOOST_TEST(fleet.nodeProcess(0).waitForExit(seconds(10)).value_or(-1) == 0);
+    return out << sample.name;
 }
 
-// Guards against a stopping owner that ends while response bytes are still in its peer transport:
-// the owner forgets a request once the transport has taken its response.
-BOOST_AUTO_TEST_CASE(a_stopping_owner_sends_complete_responses_to_its_peers)
+const StopCase StopCases[] = {
+        {"owner-stopped-work", StopTarget::Owner, "work-ms=2500"},
+        {"owner-stopped-stream", StopTarget::Owner, "work-ms=1500&bytes=3000000"},
+        {"gate-stopped-work", StopTarget::Gate, "work-ms=2500"},
+        {"gate-stopped-stream", StopTarget::Gate, "work-ms=1500&bytes=3000000"},
+        {"endpoint-stopped-work", StopTarget::Endpoint, "work-ms=2500"},
+        {"endpoint-stopped-stream", StopTarget::Endpoint, "work-ms=1500&bytes=3000000"},
+};
+
+} // namespace
+
+// Invariant 6. Guards against a planned stop that interrupts a request in flight, long or short.
+BOOST_DATA_TEST_CASE(planned_stop_interrupts_nothing, boost::unit_test::data::make(StopCases))
 {
-    auto options = platformFleet();
-    options.nodes = 2;
+    FleetOptions options;
+    options.slots = 4;
     Fleet fleet(options);
     BOOST_REQUIRE_EQUAL(fleet.start(), "");
-    fleet.backendProcess(0).signal(SIGTERM);
-    BOOST_REQUIRE(waitFor([&fleet] { return fleet.verdict(0, fleet.endpointId(0)) != "in"; }));
-    SlowCaller caller(fleet.node(0).caller, longTarget(1000000), "slow");
-    BOOST_REQUIRE(caller.readStep());
-    BOOST_REQUIRE(waitFor([&fleet] { return fleet.state(1)["open"]["owner"] == 0; }));
-    fleet.nodeProcess(1).signal(SIGTERM);
-    std::this_thread::sleep_for(seconds(2));
-    BOOST_TEST(caller.readAll().isComplete);
-    BOOST_TEST(fleet.nodeProcess(1).waitForExit(seconds(10)).value_or(-1) == 0);
+    drainEndpointOf(fleet, 0);
+    auto longResponse =
+            callLater(fleet.node(0).caller, "GET", std::string("/long?token=longz&") + sample.query,
+                      {"Idempotency-Key: long"});
+    BOOST_REQUIRE(waitFor([&] { return fleet.runningOn("long").has_value(); }));
+    const int owner = fleet.runningOn("long").value_or(-1);
+    BOOST_REQUIRE(owner > 0);
+    Process &stopped = sample.target == StopTarget::Owner  ? fleet.nodeProcess(owner)
+                       : sample.target == StopTarget::Gate ? fleet.nodeProcess(0)
+                                                           : fleet.backendProcess(owner);
+    stopped.signal(SIGTERM);
+    const Response response = longResponse.get();
+    BOOST_TEST(response.status == 200, outcomeText(response));
+    BOOST_TEST(response.isComplete);
+    BOOST_TEST(response.body.find("longz") != std::string::npos);
+    const auto exit = stopped.waitForExit(seconds(30));
+    BOOST_TEST(exit.has_value());
+    BOOST_TEST(exit.value_or(-1) == 0);
+    BOOST_TEST(fleet.runsOfKey("long").started == 1);
 }
 
-// Guards against a second SIGTERM, as overlapping maintenance sends it, that interrupts the
-// requests of a planned stop.
-BOOST_AUTO_TEST_CASE(a_second_sigterm_does_not_interrupt_a_planned_stop)
+// Invariant 6, stop limit. Guards against a stop that waits forever, and against one that
+// interrupts requests without logging them.
+BOOST_AUTO_TEST_CASE(stop_limit_names_open_requests)
 {
-    Fleet fleet(platformFleet());
+    FleetOptions options;
+    options.stopLimitMs = 500;
+    Fleet fleet(options);
     BOOST_REQUIRE_EQUAL(fleet.start(), "");
-    auto open = std::async(std::launch::async, [&fleet] {
-        return call(fleet.node(0).caller, "POST", "/write/x?work-ms=1500", {idHeader("open")}, "b");
-    });
-    BOOST_REQUIRE(waitFor([&fleet] { return fleet.runningOn("open").has_value(); }));
-    fleet.nodeProcess(0).signal(SIGTERM);
-    std::this_thread::sleep_for(milliseconds(200));
-    fleet.nodeProcess(0).signal(SIGTERM);
-    BOOST_TEST(open.get().status == 200);
-    BOOST_TEST(fleet.nodeProcess(0).waitForExit(seconds(10)).value_or(-1) == 0);
+    drainEndpointOf(fleet, 0);
+    auto longResponse = callLater(fleet.node(0).caller, "POST", "/write?work-ms=2500",
+                                  {"Idempotency-Key: long"});
+    BOOST_REQUIRE(waitFor([&] { return fleet.runningOn("long").has_value(); }));
+    const int owner = fleet.runningOn("long").value_or(-1);
+    BOOST_REQUIRE(owner > 0);
+    fleet.nodeProcess(owner).signal(SIGTERM);
+    BOOST_TEST(fleet.nodeProcess(owner).waitForExit(seconds(15)).has_value());
+    std::ostringstream log;
+    log << std::ifstream(fleet.directory() / (fleet.node(owner).name + ".log")).rdbuf();
+    BOOST_TEST(log.str().find("stop-limit-reached") != std::string::npos);
+    const Response response = longResponse.get();
+    const std::string id = idOfKey(fleet, "long");
+    BOOST_TEST(log.str().find(id) != std::string::npos, "the log names request " << id);
+    BOOST_TEST(!(response.status == 200 && response.isComplete));
+    BOOST_TEST(response.header("Berylspur-Outcome") != "not-run");
 }
