Let repeats of gossip updates wait while the push budget is short

Gates place requests by the owners' published state, so an endpoint whose trial they do not know stays out of use.

Ruled out: processor time (the same with --no-cpu), pauses, leases and draining endpoints (no such lines). One round for every update is as good in calm networks and loses the repeats that replace lost packets.

Change: an update that was pushed before waits until more than half of the burst is left. First rounds go as before.

--- a/include/berylspur/membership/gossip_machine.h
+++ b/include/berylspur/membership/gossip_machine.h
@@ -32,8 +32,8 @@
     /// rounds or more, every copy is full.
     std::uint32_t fullRecordCopies = 1;
     /// Token bucket for pushed and requested updates: average rate and burst size. When many
-    /// endpoints change at once, updates are delayed and only the newest record of each node is
-    /// sent. 0 disables the limit.
+    /// endpoints change at once, repeats wait until half of the burst is refilled, updates are
+    /// delayed, and only the newest record of each node is sent. 0 disables the limit.
     std::uint32_t pushBytesPerSecond = 5000;
     std::uint32_t pushBurstBytes = 64u << 10;
     /// Includes the sender's recent contacts in each packet, so that a node detects the loss of
@@ -149,6 +149,8 @@
                        const std::string &address, TimePoint now);
     void requestDeferredRecords(std::vector<OutgoingPacket> &out, TimePoint now);
     bool hasPushBudget() const;
+    /// True if \a update was pushed before and waits until the push budget is refilled.
+    bool isDeferredRepeat(const Update &update) const;
     /// Adds this node's record of the ping's sender unless it is alive, so that the sender refutes
     /// it, or a request for the sender's record if there is none.
     void addRecordOfPingSender(schema::GossipPacket &reply, const schema::GossipPacket &packet,
--- a/src/membership/gossip_machine.cpp
+++ b/src/membership/gossip_machine.cpp
@@ -18,6 +18,9 @@
 constexpr std::size_t MaxSharedContacts = 64;
 /// Limit per peer and round; the rest of a large burst is sent in later rounds.
 constexpr std::size_t MaxPacketsPerRound = 4;
+/// Updates are pushed again only while more than this share of the push burst is left. Otherwise
+/// the repeats of earlier updates would delay the first round of later ones, and views become old.
+constexpr double RepeatBudgetShare = 0.5;
 /// Protobuf tag and length prefix of a record within a packet.
 constexpr std::size_t RecordOverheadBytes = 4;
 /// Leaves space for the other fields of a packet with names and addresses of maximum length.
@@ -303,6 +306,13 @@
     return m_settings.pushBytesPerSecond == 0 || m_pushBudget > 0;
 }
 
+bool GossipMachine::isDeferredRepeat(const Update &update) const
+{
+    const bool isRepeat = update.roundsLeft < m_settings.rounds;
+    return isRepeat && m_settings.pushBytesPerSecond != 0
+           && m_pushBudget <= RepeatBudgetShare * m_settings.pushBurstBytes;
+}
+
 void GossipMachine::merge(const std::vector<schema::MemberRecord> &records, bool push,
                           TimePoint now)
 {
@@ -462,7 +472,7 @@
     // Oldest first, so that a node that changes continuously does not delay the others.
     std::vector<std::pair<TimePoint, std::string>> due;
     for (const auto &[node, update] : m_updates) {
-        if (update.due <= now && m_table.find(node))
+        if (update.due <= now && !isDeferredRepeat(update) && m_table.find(node))
             due.emplace_back(update.due, node);
     }
     std::sort(due.begin(), due.end());
