Deliver changes after the store has come back from an older copy

Where the store returned from a copy, a watcher could pass over confirmed changes for as long as the store needed to give out the revisions again that it had lost: with the waiting watches answered by 410, two changes written after the return were not in force on any node 20 s later.

Cause: revisions of two eras of the store were compared. The client kept the revision to watch from across the return, so that a store which had passed it again sent neither 410 nor the changes below it; and a listed or watched object was delivered only if its revision was higher than the one that the watcher held from before. The operator's own version, which the configuration store compares, is not affected: the operator writes the same versions again, and the highest one is right across a return.

The client now reads the era from each response. The version of an object consists of era and revision, and revisions are compared within an era only. A new era discards the revisions to watch from, a watch that it ended starts with a list, and so does one after a watch without a response.

--- a/include/berylspur/ctl/manifest_writer.h
+++ b/include/berylspur/ctl/manifest_writer.h
@@ -76,10 +76,10 @@
     WriteOutcome drain(const std::string &service, const std::string &target, bool undo,
                        const ActiveRevisions &activeRevisions, const WriteIdentity &identity);
 
-    /// The head and its object version; version 0 and empty content if no head exists.
+    /// The head and its object version; NoObject and empty content if no head exists.
     struct Head
     {
-        std::uint64_t version = 0;
+        ObjectVersion version;
         schema::ManifestHead content;
     };
     Result<Head> readHead();
@@ -99,7 +99,7 @@
     WriteOutcome writeHead(const Plan &plan);
     std::optional<WriteOutcome> findOwnWrite(const Plan &plan, const Head &head) const;
     WriteOutcome conflictOutcome(const Plan &plan, const Head &head) const;
-    Result<Head> readHeadAfter(std::uint64_t version);
+    Result<Head> readHeadAfter(const ObjectVersion &version);
 
     PlatformSession &m_session;
     Duration m_readPause;
--- a/include/berylspur/ctl/platform_session.h
+++ b/include/berylspur/ctl/platform_session.h
@@ -19,8 +19,8 @@
     PlatformSession(event_base *base, const Address &platform);
 
     Result<PlatformObject> read(const std::string &name);
-    Result<std::uint64_t> write(const std::string &name, const std::string &value,
-                                std::optional<std::uint64_t> expected);
+    Result<ObjectVersion> write(const std::string &name, const std::string &value,
+                                std::optional<ObjectVersion> expected);
     Result<std::vector<PlatformObject>> list(const std::string &prefix);
 
     /// Reads objects, at most MaxConcurrentCalls at a time. Results are in the order of \a names.
--- a/src/config/config_task.cpp
+++ b/src/config/config_task.cpp
@@ -133,7 +133,7 @@
 
     bool m_watching = false;
     Duration m_watchRetry = MinWatchRetry;
-    std::uint64_t m_headVersion = 0;
+    ObjectVersion m_headVersion;
     /// Head whose services are being fetched. Applied in one step, so that a change of several
     /// services takes effect together.
     schema::ManifestHead m_head;
@@ -212,7 +212,7 @@
             return onWatchFailed(object.error());
         // A platform that lost its data restarts its version numbers, so the watch continues from
         // the version read now.
-        m_headVersion = object ? object.value().version : 0;
+        m_headVersion = object ? object.value().version : NoObject;
         if (object)
             onObject(object.value());
         watchHead();
@@ -269,7 +269,7 @@
     const auto complete = m_external->decode(object.value);
     if (!complete) {
         log::error("config-malformed",
-                   {{"version", object.version}, {"reason", describe(complete.error())}});
+                   {{"version", object.version.revision}, {"reason", describe(complete.error())}});
         return;
     }
     if (complete.value().revision() <= m_store.revision())
@@ -281,7 +281,7 @@
 {
     schema::ManifestHead head;
     if (!head.ParseFromString(object.value)) {
-        log::error("config-head-malformed", {{"version", object.version}});
+        log::error("config-head-malformed", {{"version", object.version.revision}});
         return;
     }
     if (m_headPending && head.revision() <= m_head.revision())
--- a/src/ctl/manifest_writer.cpp
+++ b/src/ctl/manifest_writer.cpp
@@ -142,7 +142,7 @@
     if (sameContent && sameHeader && !plan.bumpAllRevisions)
         return;
     if (!sameContent || plan.bumpAllRevisions)
-        plan.contents.push_back({contentName(service.name(), entry.hash()), 0, content});
+        plan.contents.push_back({contentName(service.name(), entry.hash()), NoObject, content});
     plan.changedServices.push_back(service.name());
     plan.entries[service.name()] = entry;
 }
@@ -192,7 +192,7 @@
         plan.next.add_entries()->set_service(service.name());
     }
     addDeletions(plan);
-    if (plan.changedServices.empty() && plan.base.version != 0) {
+    if (plan.changedServices.empty() && plan.base.version != NoObject) {
         WriteOutcome outcome;
         outcome.revision = plan.base.content.revision();
         outcome.isUnchanged = true;
@@ -339,10 +339,11 @@
 }
 
 /// Reads the head until it is newer than \a version; returns the last result if it never is.
-Result<ManifestWriter::Head> ManifestWriter::readHeadAfter(std::uint64_t version)
+Result<ManifestWriter::Head> ManifestWriter::readHeadAfter(const ObjectVersion &version)
 {
     auto head = readHead();
-    for (int i = 1; i < MaxReadAttempts && (!head || head.value().version <= version); ++i) {
+    for (int i = 1; i < MaxReadAttempts && (!head || !head.value().version.isNewerThan(version));
+         ++i) {
         m_session.sleep(m_readPause);
         head = readHead();
     }
--- a/src/ctl/platform_session.cpp
+++ b/src/ctl/platform_session.cpp
@@ -41,10 +41,10 @@
     return readAll({name}).front();
 }
 
-Result<std::uint64_t> PlatformSession::write(const std::string &name, const std::string &value,
-                                             std::optional<std::uint64_t> expected)
+Result<ObjectVersion> PlatformSession::write(const std::string &name, const std::string &value,
+                                             std::optional<ObjectVersion> expected)
 {
-    std::optional<Result<std::uint64_t>> result;
+    std::optional<Result<ObjectVersion>> result;
     m_platform.write(name, value, expected,
                      [&result](const auto &outcome) { result.emplace(outcome); });
     runUntil([&result] { return result.has_value(); });
@@ -84,12 +84,13 @@
         runConcurrently(pending.size(), [&](std::size_t index, const std::function<void()> &done) {
             const auto &object = objects[pending[index]];
             auto &error = errors[pending[index]];
-            m_platform.write(object.name, object.value, 0, [&error, done](const auto &result) {
-                error = result || result.error().code == ErrorCode::PlatformConflict
-                                ? Error {}
-                                : result.error();
-                done();
-            });
+            m_platform.write(
+                    object.name, object.value, NoObject, [&error, done](const auto &result) {
+                        error = result || result.error().code == ErrorCode::PlatformConflict
+                                        ? Error {}
+                                        : result.error();
+                        done();
+                    });
         });
     }
     const auto failed = std::find_if(errors.begin(), errors.end(),
--- a/src/membership/membership_bootstrap.cpp
+++ b/src/membership/membership_bootstrap.cpp
@@ -166,17 +166,17 @@
     schema::MemberRecord record;
     record.set_node(m_settings.node().name());
     record.set_peer_address(advertised(m_settings.addresses()));
-    m_platform.write(objectName(), record.SerializeAsString(), 0,
-                     [this, alive = std::weak_ptr(m_alive)](const Result<std::uint64_t> &result) {
+    m_platform.write(objectName(), record.SerializeAsString(), NoObject,
+                     [this, alive = std::weak_ptr(m_alive)](const Result<ObjectVersion> &result) {
                          if (!alive.expired())
                              onPublished(result);
                      });
 }
 
-void MembershipTask::Impl::onPublished(const Result<std::uint64_t> &result)
+void MembershipTask::Impl::onPublished(const Result<ObjectVersion> &result)
 {
     if (result) {
-        log::info("published", {{"object", objectName()}, {"version", result.value()}});
+        log::info("published", {{"object", objectName()}, {"version", result.value().revision}});
         return;
     }
     if (result.error().code == ErrorCode::PlatformConflict) {
@@ -209,7 +209,7 @@
         record.set_node(m_settings.node().name());
         record.set_peer_address(advertised(m_settings.addresses()));
         m_platform.write(objectName(), record.SerializeAsString(), object.value().version,
-                         [this, alive](const Result<std::uint64_t> &result) {
+                         [this, alive](const Result<ObjectVersion> &result) {
                              if (!alive.expired())
                                  onPublished(result);
                          });
--- a/src/membership/membership_task_impl.h
+++ b/src/membership/membership_task_impl.h
@@ -112,7 +112,7 @@
 
     // Peer objects on the platform, and pings to members that are gone or unknown.
     void publishSelf();
-    void onPublished(const Result<std::uint64_t> &result);
+    void onPublished(const Result<ObjectVersion> &result);
     void replaceOwnObject();
     void onRediscoveryTimer();
     void pingUnknownOrDeadMembers(const std::vector<PlatformObject> &objects);
--- a/src/record/record_task.cpp
+++ b/src/record/record_task.cpp
@@ -54,8 +54,8 @@
         m_isWriteInProgress = true;
         const auto name = objectName(*batch);
         const std::weak_ptr<Impl *> alive = m_self;
-        m_platform.write(name, batch->SerializeAsString(), 0,
-                         [alive, name](const Result<std::uint64_t> &result) {
+        m_platform.write(name, batch->SerializeAsString(), NoObject,
+                         [alive, name](const Result<ObjectVersion> &result) {
                              if (const auto self = alive.lock())
                                  (*self)->onWritten(name, result);
                          });
@@ -87,7 +87,7 @@
         task.flush();
     }
 
-    void onWritten(const std::string &name, const Result<std::uint64_t> &result)
+    void onWritten(const std::string &name, const Result<ObjectVersion> &result)
     {
         m_isWriteInProgress = false;
         // No other writer uses this name, so a conflict means that an earlier attempt succeeded.
--- a/tests/membership_task_test.cpp
+++ b/tests/membership_task_test.cpp
@@ -101,3 +101,50 @@
     // The other two watchers and the checks of the peer objects may add some calls.
     BOOST_TEST(fleet.platform->calls() - before < 2 * Services);
 }
+
+namespace {
+
+/// Time within which a change that the store has acknowledged must be in force.
+constexpr Duration ReturnBound = std::chrono::seconds(2);
+
+const std::vector<standin::WaitingWatches> WatchEnds {standin::WaitingWatches::Closed,
+                                                      standin::WaitingWatches::Gone};
+
+} // namespace
+
+namespace berylspur::standin {
+
+std::ostream &operator<<(std::ostream &out, WaitingWatches waiting)
+{
+    constexpr const char *Names[] = {"closed", "gone"};
+    return out << Names[static_cast<int>(waiting)];
+}
+
+} // namespace berylspur::standin
+
+// Guards against a fleet that does not take a change after the store has come back from an older
+// copy, where the change has a lower revision than the configuration in force.
+BOOST_DATA_TEST_CASE(change_after_a_return_of_the_store_is_in_force_in_time,
+                     boost::unit_test::data::make(WatchEnds), waiting)
+{
+    constexpr int LostWrites = 20;
+    TaskFleet fleet;
+    for (int i = 0; i < 4; ++i)
+        fleet.add(i % 2 == 0 ? "a" : "b", true);
+    BOOST_TEST(fleet.allSee(4));
+    fleet.apply(1, {"scan"});
+    BOOST_TEST(fleet.allHaveRevision(1));
+    BOOST_TEST(fleet.loop.runUntil([&] { return fleet.platform->pendingCalls() == 2; }));
+    fleet.platform->store().takeCopy();
+    for (int i = 0; i < LostWrites; ++i)
+        fleet.platform->put("other/x", std::to_string(i));
+    fleet.apply(2, {"scan"});
+    BOOST_TEST(fleet.allHaveRevision(2));
+    BOOST_TEST(fleet.loop.runUntil([&] { return fleet.platform->pendingCalls() == 2; }));
+    fleet.platform->restoreCopy(waiting);
+    fleet.apply(2, {"scan"});
+    fleet.apply(3, {"scan"});
+    const auto written = BootClock::now();
+    BOOST_TEST(fleet.allHaveRevision(3));
+    BOOST_TEST(toMs(BootClock::now() - written) < toMs(ReturnBound));
+}
--- a/tests/platform_fixture.h
+++ b/tests/platform_fixture.h
@@ -51,10 +51,10 @@
     {
         return wait<PlatformObject>([&](auto done) { client.read(name, std::move(done)); });
     }
-    Result<std::uint64_t> write(const std::string &name, const std::string &value,
-                                std::optional<std::uint64_t> expected = std::nullopt)
+    Result<ObjectVersion> write(const std::string &name, const std::string &value,
+                                std::optional<ObjectVersion> expected = std::nullopt)
     {
-        return wait<std::uint64_t>(
+        return wait<ObjectVersion>(
                 [&](auto done) { client.write(name, value, expected, std::move(done)); });
     }
 
@@ -95,4 +95,9 @@
     return stream << errorName(code);
 }
 
+inline std::ostream &boost_test_print_type(std::ostream &stream, const ObjectVersion &version)
+{
+    return stream << version.era << ":" << version.revision;
+}
+
 } // namespace berylspur
--- a/tests/platform_responses_test.cpp
+++ b/tests/platform_responses_test.cpp
@@ -46,16 +46,16 @@
             client.read("k/n", ended);
             break;
         case Call::Create:
-            client.write("k/n", "v", 0, ended);
+            client.write("k/n", "v", NoObject, ended);
             break;
         case Call::Replace:
-            client.write("k/n", "v", 4, ended);
+            client.write("k/n", "v", ObjectVersion {0, 4}, ended);
             break;
         case Call::List:
             client.list("k/", ended);
             break;
         case Call::Watch:
-            client.watch("k/n", 4, ended);
+            client.watch("k/n", ObjectVersion {0, 4}, ended);
             break;
         }
         BOOST_TEST(loop.runUntil([&] {
@@ -159,7 +159,7 @@
             return store.requests == count;
         });
     };
-    client.watch("k/n", 4, [](const Result<PlatformObject> &) {});
+    client.watch("k/n", ObjectVersion {0, 4}, [](const Result<PlatformObject> &) {});
     store.script = response(200, R"({"at":5,"items":[]})");
     BOOST_REQUIRE(receive(1));
     store.script.clear();
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -10,12 +10,12 @@
 // Guards against a conditional update that overwrites what another writer stored.
 BOOST_FIXTURE_TEST_CASE(conditional_write_has_one_winner, PlatformFixture)
 {
-    const auto first = write("a/b:c", "one", 0);
+    const auto first = write("a/b:c", "one", NoObject);
     BOOST_REQUIRE(first.has_value());
-    BOOST_TEST(codeOf(write("a/b:c", "two", 0)) == ErrorCode::PlatformConflict);
+    BOOST_TEST(codeOf(write("a/b:c", "two", NoObject)) == ErrorCode::PlatformConflict);
     const auto second = write("a/b:c", "three", first.value());
     BOOST_REQUIRE(second.has_value());
-    BOOST_TEST(second.value() > first.value());
+    BOOST_TEST(second.value().isNewerThan(first.value()));
     BOOST_TEST(codeOf(write("a/b:c", "four", first.value())) == ErrorCode::PlatformConflict);
     const auto object = read("a/b:c");
     BOOST_REQUIRE(object.has_value());
@@ -84,7 +84,7 @@
     client.watch("config/head", first,
                  [&seen](Result<PlatformObject> object) { seen.emplace(object); });
     runUntil([this] { return server.pendingCalls() == 1; });
-    server.store().write("config/head", "two", first); // bypasses the watch notification
+    server.store().write("config/head", "two", first.revision); // bypasses the watch notification
     server.compact();
     runUntil([&seen] { return seen.has_value(); });
     BOOST_TEST(seen->value().value == "two");
@@ -106,8 +106,8 @@
 BOOST_FIXTURE_TEST_CASE(too_many_calls_are_unreachable, PlatformFixture)
 {
     server.faults().tooMany = 1;
-    BOOST_TEST(codeOf(write("a/b", "x", 0)) == ErrorCode::PlatformUnreachable);
-    BOOST_TEST(write("a/b", "x", 0).has_value());
+    BOOST_TEST(codeOf(write("a/b", "x", NoObject)) == ErrorCode::PlatformUnreachable);
+    BOOST_TEST(write("a/b", "x", NoObject).has_value());
 }
 
 // Guards against reporting a write as failed when only its response was lost: the write took
@@ -115,9 +115,9 @@
 BOOST_FIXTURE_TEST_CASE(lost_response_of_a_write_is_a_timeout, PlatformFixture)
 {
     server.faults().loseWriteResponses = 1;
-    BOOST_TEST(codeOf(write("a", "one", 0)) == ErrorCode::PlatformTimeout);
+    BOOST_TEST(codeOf(write("a", "one", NoObject)) == ErrorCode::PlatformTimeout);
     BOOST_TEST(read("a").value().value == "one");
-    BOOST_TEST(codeOf(write("a", "one", 0)) == ErrorCode::PlatformConflict);
+    BOOST_TEST(codeOf(write("a", "one", NoObject)) == ErrorCode::PlatformConflict);
 }
 
 // Guards against reporting an outage as a missing object.
@@ -134,7 +134,7 @@
 BOOST_FIXTURE_TEST_CASE(refused_connection_is_unreachable, PlatformFixture)
 {
     PlatformClient unreachable(base(), Address {"127.0.0.1", 1});
-    const auto result = wait<std::uint64_t>([&unreachable](auto done) {
+    const auto result = wait<ObjectVersion>([&unreachable](auto done) {
         unreachable.write("a", "x", std::nullopt, std::move(done));
     });
     BOOST_TEST(codeOf(result) == ErrorCode::PlatformUnreachable);
@@ -145,7 +145,7 @@
 {
     server.faults().silent = true;
     std::optional<Result<PlatformObject>> readResult;
-    std::optional<Result<std::uint64_t>> writeResult;
+    std::optional<Result<ObjectVersion>> writeResult;
     client.read("a", [&readResult](auto result) { readResult.emplace(result); });
     client.write("a", "x", std::nullopt,
                  [&writeResult](auto result) { writeResult.emplace(result); });
@@ -190,7 +190,8 @@
 {
     auto own = std::make_unique<PlatformClient>(base(), address());
     bool called = false;
-    own->watch("never", 0, [](const auto &) { BOOST_ERROR("called after the client ended"); });
+    own->watch("never", NoObject,
+               [](const auto &) { BOOST_ERROR("called after the client ended"); });
     own->read("a", [&](const auto &) {
         own.reset();
         called = true;
--- a/tests/process_platform_test.cpp
+++ b/tests/process_platform_test.cpp
@@ -200,6 +200,41 @@
     }
 }
 
+// Guards against a node that misses a change, or goes back to an older version, when the store
+// comes back from an older copy and the operator writes its versions again.
+BOOST_AUTO_TEST_CASE(configuration_survives_a_return_of_the_store)
+{
+    Fleet fleet(platformFleet());
+    BOOST_REQUIRE_EQUAL(fleet.start(), "");
+    const auto inForce = [&fleet](std::uint64_t version) {
+        return waitFor([&fleet, version] {
+            for (int i = 0; i < fleet.nodeCount(); ++i) {
+                if (fleet.revision(i) != version)
+                    return false;
+            }
+            return true;
+        });
+    };
+    fleet.configure(0x10);
+    BOOST_TEST(inForce(0x10));
+    fleet.setPlatformFaults({{"take-copy", true}});
+    for (const auto version : {0x20, 0x28})
+        fleet.configure(version, "/lost/");
+    BOOST_TEST(inForce(0x28));
+    fleet.setPlatformFaults({{"restore-copy", true}});
+    fleet.configure(0x28, "/lost/");
+    fleet.configure(0x30, "/added/");
+    BOOST_TEST(inForce(0x30));
+    for (int i = 0; i < fleet.nodeCount(); ++i) {
+        const auto response =
+                call(fleet.node(i).caller, "GET", "/added/x?work-ms=1", {idHeader("added")});
+        BOOST_TEST(response.status == 200);
+        const auto log = fleet.nodeLog(i);
+        BOOST_TEST(log.find("config-changed revision=16 ")
+                   == log.rfind("config-changed revision=16 "));
+    }
+}
+
 // Guards against a SIGHUP that terminates the process, which is the signal's default action.
 BOOST_AUTO_TEST_CASE(reload_does_not_interrupt_requests)
 {
