--- a/tests/platform_restore_test.cpp
+++ b/tests/platform_restore_test.cpp
@@ -122,3 +122,15 @@
     server.put(Head, "changed");
     BOOST_TEST(valueWithin(Soon) == "changed");
 }
+
+// Guards against a conditional write that replaces another object than the one that was read,
+// because the store gave the same revision out again.
+BOOST_FIXTURE_TEST_CASE(a_version_of_an_earlier_era_does_not_satisfy_a_condition, RestoreFixture)
+{
+    const auto lost = write(Head, "lost").value();
+    server.restoreCopy();
+    server.put(Head, "written again");
+    BOOST_TEST(read(Head).value().value == "written again");
+    BOOST_TEST(codeOf(write(Head, "conditional", lost)) == ErrorCode::PlatformConflict);
+    BOOST_TEST(read(Head).value().value == "written again");
+}
