--- a/tests/platform_restore_test.cpp
+++ b/tests/platform_restore_test.cpp
@@ -134,3 +134,22 @@
     BOOST_TEST(codeOf(write(Head, "conditional", lost)) == ErrorCode::PlatformConflict);
     BOOST_TEST(read(Head).value().value == "written again");
 }
+
+// Guards against a list that lacks objects because its pages come from two eras: the object that
+// the first page did not have yet is before the place where the second one continues.
+BOOST_FIXTURE_TEST_CASE(a_list_contains_no_pages_of_two_eras, RestoreFixture)
+{
+    constexpr int Objects = 700;
+    server.put("many/0", "x");
+    for (int i = 0; i < Objects; ++i)
+        server.put("many/" + std::to_string(10000 + i), "x");
+    server.store().takeCopy();
+    BOOST_TEST(server.store().remove("many/0").version > 0U);
+    std::optional<Result<std::vector<PlatformObject>>> list;
+    client.list("many/", [&list](auto result) { list.emplace(std::move(result)); });
+    runUntil([this] { return server.accounting().list == 1; });
+    server.restoreCopy();
+    runUntil([&list] { return list.has_value(); });
+    BOOST_REQUIRE(list->has_value());
+    BOOST_TEST(list->value().size() == Objects + 1U);
+}
