--- a/tests/platform_restore_test.cpp
+++ b/tests/platform_restore_test.cpp
@@ -153,3 +153,26 @@
     BOOST_REQUIRE(list->has_value());
     BOOST_TEST(list->value().size() == Objects + 1U);
 }
+
+// Guards against a client that takes a response of an earlier era, which arrives late, for the
+// present state, or that returns to that era.
+BOOST_FIXTURE_TEST_CASE(a_late_response_of_an_earlier_era_is_not_delivered, RestoreFixture)
+{
+    server.put(Head, "lost");
+    server.faults().delayMs = 300;
+    std::optional<Result<PlatformObject>> late;
+    std::optional<ErrorCode> lateWrite;
+    client.read(Head, [&late](Result<PlatformObject> object) { late.emplace(std::move(object)); });
+    client.write("other/x", "x", std::nullopt,
+                 [&lateWrite](const auto &result) { lateWrite = codeOf(result); });
+    runUntil([this] { return server.pendingCalls() == 2; });
+    server.faults().delayMs = 0;
+    server.restoreCopy();
+    BOOST_TEST(read(Head).value().value == "first");
+    BOOST_TEST(!late.has_value());
+    runUntil([&] { return late && lateWrite; });
+    BOOST_TEST(codeOf(*late) == ErrorCode::PlatformUnreachable);
+    // The write took effect in the earlier era, and it is not known whether the copy has it.
+    BOOST_TEST(*lateWrite == ErrorCode::PlatformTimeout);
+    BOOST_TEST(read(Head).value().version.era == server.store().era());
+}
