Write member objects again that the store has lost

A node that wrote its member object after the copy from which the store came back was not listed there any more, for the rest of its life: a newcomer that knows no peers found only the nodes that remained in the list, and none if all were lost. A node that had started again with another address was listed under the old one.

Cause: the object is written at the start of a node and was believed to be there from then on. Only the nodes that call the store see it, which are the watchers of each failure domain; these list the member objects after up to 0.5 s of jitter and create those of reachable members of their domain that are missing, one every 50 ms. Each node also checks its own object, address included, after a return that it sees and with the list that it reads every minute or two anyway. Ruled out: that each node checks its own object on hearsay by gossip, which costs a call a node and a field in each packet.

Tests that failed before: member_objects_are_written_again_after_a_return_of_the_store (not back after 21,150 ms, bound 2,000), and own_address_is_written_again_after_a_return_of_the_store (not back within 20 s). The first one also bounds the writes: ten for five lost objects.

--- a/src/membership/membership_bootstrap.cpp
+++ b/src/membership/membership_bootstrap.cpp
@@ -1,9 +1,12 @@
 // Finds the first peers of a node: first those in the settings, then the peer objects on the
-// platform. Each node also publishes its own peer object.
+// platform. Each node also publishes its own peer object, and writes those of its failure domain
+// again that the platform has lost.
 #include "berylspur/core/log.h"
 #include "membership_task_impl.h"
 
 #include <algorithm>
+#include <set>
+#include <string_view>
 
 namespace berylspur {
 
@@ -19,6 +22,11 @@
 constexpr Duration PlatformJitter = milliseconds(300);
 constexpr Duration PlatformRetryInterval = milliseconds(500);
 constexpr Duration MaxPublishRetry = seconds(4);
+/// Spreads the checks of the nodes that see the platform return from an older copy.
+constexpr Duration RestoredJitter = milliseconds(500);
+/// Time between two writes of lost objects. With two watchers in each of ten failure domains the
+/// fleet makes 400 writes per second at most.
+constexpr Duration MissingObjectInterval = milliseconds(50);
 /// Minimum time between two checks of the platform for members that no reachable node knows.
 constexpr Duration RediscoveryInterval = seconds(60);
 /// Added per reachable member, so that the fleet's total call rate does not grow with its size.
@@ -161,12 +169,22 @@
     m_task.joined.emit();
 }
 
-void MembershipTask::Impl::publishSelf()
+std::string MembershipTask::Impl::peerObject(const std::string &node, const std::string &address)
 {
     schema::MemberRecord record;
-    record.set_node(m_settings.node().name());
-    record.set_peer_address(advertised(m_settings.addresses()));
-    m_platform.write(objectName(), record.SerializeAsString(), NoObject,
+    record.set_node(node);
+    record.set_peer_address(address);
+    return record.SerializeAsString();
+}
+
+std::string MembershipTask::Impl::ownPeerObject() const
+{
+    return peerObject(m_settings.node().name(), advertised(m_settings.addresses()));
+}
+
+void MembershipTask::Impl::publishSelf()
+{
+    m_platform.write(objectName(), ownPeerObject(), NoObject,
                      [this, alive = std::weak_ptr(m_alive)](const Result<ObjectVersion> &result) {
                          if (!alive.expired())
                              onPublished(result);
@@ -205,10 +223,7 @@
                           && stored.peer_address() == advertised(m_settings.addresses());
         if (same)
             return;
-        schema::MemberRecord record;
-        record.set_node(m_settings.node().name());
-        record.set_peer_address(advertised(m_settings.addresses()));
-        m_platform.write(objectName(), record.SerializeAsString(), object.value().version,
+        m_platform.write(objectName(), ownPeerObject(), object.value().version,
                          [this, alive](const Result<ObjectVersion> &result) {
                              if (!alive.expired())
                                  onPublished(result);
@@ -216,6 +231,89 @@
     });
 }
 
+void MembershipTask::Impl::onStoreRestored()
+{
+    m_restoredTimer.start(jitter(RestoredJitter));
+}
+
+void MembershipTask::Impl::checkPeerObjects()
+{
+    m_platform.list(std::string(PeersPrefix), [this, alive = std::weak_ptr(m_alive)](auto list) {
+        if (alive.expired())
+            return;
+        if (!list) {
+            m_restoredTimer.start(PlatformRetryInterval + jitter(PlatformJitter));
+            return;
+        }
+        checkOwnObject(list.value());
+        queueMissingObjects(list.value());
+    });
+}
+
+/// Writes the object of this node again if the platform has lost it or returned to an older one.
+void MembershipTask::Impl::checkOwnObject(const std::vector<PlatformObject> &objects)
+{
+    const bool isCurrent =
+            std::any_of(objects.begin(), objects.end(), [this](const PlatformObject &object) {
+                return object.name == objectName() && object.value == ownPeerObject();
+            });
+    if (!isCurrent && table().self().status() != schema::MEMBER_LEFT)
+        publishSelf();
+}
+
+/// Only the nodes that call the platform see that it has lost objects; these are the watchers of
+/// each failure domain and not the owners of the objects.
+void MembershipTask::Impl::queueMissingObjects(const std::vector<PlatformObject> &objects)
+{
+    std::set<std::string_view> present;
+    for (const auto &object : objects)
+        present.insert(object.name);
+    const auto &self = table().self();
+    m_missingObjects.clear();
+    for (const auto &node : table().reachable()) {
+        if (node != self.node() && table().find(node)->failure_domain() == self.failure_domain()
+            && !present.contains(objectName(node)))
+            m_missingObjects.push_back(node);
+    }
+    // Two watchers of a domain rarely write the same object at a time.
+    std::shuffle(m_missingObjects.begin(), m_missingObjects.end(), m_random);
+    if (!m_missingObjects.empty())
+        m_missingObjectTimer.start(Duration::zero());
+}
+
+void MembershipTask::Impl::writeNextMissingObject()
+{
+    if (m_missingObjects.empty())
+        return;
+    const auto node = m_missingObjects.back();
+    m_missingObjects.pop_back();
+    m_missingObjectTimer.start(MissingObjectInterval);
+    const auto *member = table().find(node);
+    if (!member)
+        return;
+    m_platform.write(objectName(node), peerObject(node, member->peer_address()), NoObject,
+                     [this, node, alive = std::weak_ptr(m_alive)](const auto &result) {
+                         if (!alive.expired())
+                             onMissingObjectWritten(node, result);
+                     });
+}
+
+void MembershipTask::Impl::onMissingObjectWritten(const std::string &node,
+                                                  const Result<ObjectVersion> &result)
+{
+    if (result) {
+        log::info("published",
+                  {{"object", objectName(node)}, {"version", result.value().revision}});
+        return;
+    }
+    if (result.error().code == ErrorCode::PlatformConflict)
+        return; // another node has written it
+    log::warn("publish-failed",
+              {{"object", objectName(node)}, {"reason", describe(result.error())}});
+    m_missingObjects.insert(m_missingObjects.begin(), node);
+    m_missingObjectTimer.start(PlatformRetryInterval + jitter(PlatformJitter));
+}
+
 void MembershipTask::Impl::onRediscoveryTimer()
 {
     const auto spread = RediscoveryIntervalPerMember * table().reachable().size();
@@ -223,8 +321,10 @@
     // After a partition longer than GoneMemberRetention, only the platform still lists the members
     // of the other side.
     m_platform.list(std::string(PeersPrefix), [this, alive = std::weak_ptr(m_alive)](auto list) {
-        if (!alive.expired() && list)
-            pingUnknownOrDeadMembers(list.value());
+        if (alive.expired() || !list)
+            return;
+        checkOwnObject(list.value());
+        pingUnknownOrDeadMembers(list.value());
     });
 }
 
--- a/src/membership/membership_task.cpp
+++ b/src/membership/membership_task.cpp
@@ -59,7 +59,10 @@
       m_syncTimer(base, [this] { onSyncTimer(); }), m_publishTimer(base, [this] { publishSelf(); }),
       m_rediscoveryTimer(base, [this] { onRediscoveryTimer(); }),
       m_deadPingTimer(base, [this] { pingDeadMember(); }),
-      m_finishTimer(base, [this] { finishExchanges(); })
+      m_finishTimer(base, [this] { finishExchanges(); }),
+      m_restoredTimer(base, [this] { checkPeerObjects(); }),
+      m_missingObjectTimer(base, [this] { writeNextMissingObject(); }),
+      m_restoredConnection(platform.restored.connect([this] { onStoreRestored(); }))
 {
 }
 
--- a/src/membership/membership_task_impl.h
+++ b/src/membership/membership_task_impl.h
@@ -31,6 +31,7 @@
          Incarnation incarnation, PlatformClient &platform, PeerPool &peers);
     ~Impl()
     {
+        m_restoredConnection.disconnect();
         if (m_readable)
             event_free(m_readable);
         if (m_socket >= 0)
@@ -114,6 +115,14 @@
     void publishSelf();
     void onPublished(const Result<ObjectVersion> &result);
     void replaceOwnObject();
+    void onStoreRestored();
+    void checkPeerObjects();
+    void checkOwnObject(const std::vector<PlatformObject> &objects);
+    void queueMissingObjects(const std::vector<PlatformObject> &objects);
+    void writeNextMissingObject();
+    void onMissingObjectWritten(const std::string &node, const Result<ObjectVersion> &result);
+    static std::string peerObject(const std::string &node, const std::string &address);
+    std::string ownPeerObject() const;
     void onRediscoveryTimer();
     void pingUnknownOrDeadMembers(const std::vector<PlatformObject> &objects);
     void pingDeadMember();
@@ -122,7 +131,11 @@
     {
         return Duration(std::uniform_int_distribution<Duration::rep>(0, max.count())(m_random));
     }
-    std::string objectName() const { return std::string(PeersPrefix) + m_settings.node().name(); }
+    static std::string objectName(const std::string &node)
+    {
+        return std::string(PeersPrefix) + node;
+    }
+    std::string objectName() const { return objectName(m_settings.node().name()); }
     bool isOwnAddress(const std::string &address) const
     {
         return address == m_settings.addresses().peer()
@@ -146,6 +159,9 @@
     Timer m_rediscoveryTimer;
     Timer m_deadPingTimer;
     Timer m_finishTimer;
+    Timer m_restoredTimer;
+    Timer m_missingObjectTimer;
+    sigc::connection m_restoredConnection;
     /// Callbacks hold a weak pointer to it, because platform and peer calls may outlive this
     /// object.
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
@@ -163,6 +179,8 @@
     std::size_t m_nextConfiguredPeer = 0;
     std::size_t m_nextDead = 0;
     Duration m_publishRetry {};
+    /// Reachable members whose objects the store has lost, in the order in which they are written.
+    std::vector<std::string> m_missingObjects;
 };
 
 } // namespace berylspur
--- a/tests/membership_task_test.cpp
+++ b/tests/membership_task_test.cpp
@@ -104,7 +104,8 @@
 
 namespace {
 
-/// Time within which a change that the store has acknowledged must be in force.
+/// Time within which a change that the store has acknowledged must be in force, and within which
+/// what the fleet wrote to the store must be there again after a return.
 constexpr Duration ReturnBound = std::chrono::seconds(2);
 
 const std::vector<standin::WaitingWatches> WatchEnds {standin::WaitingWatches::Closed,
@@ -148,3 +149,57 @@
     BOOST_TEST(fleet.allHaveRevision(3));
     BOOST_TEST(toMs(BootClock::now() - written) < toMs(ReturnBound));
 }
+
+// Guards against members that newcomers cannot find through the store, because it has lost their
+// objects.
+BOOST_AUTO_TEST_CASE(member_objects_are_written_again_after_a_return_of_the_store)
+{
+    TaskFleet fleet;
+    fleet.add("a", true);
+    BOOST_TEST(fleet.allSee(1));
+    fleet.apply(1, {"scan"});
+    fleet.platform->store().takeCopy();
+    for (int i = 1; i < 6; ++i)
+        fleet.add(i % 2 == 0 ? "a" : "b", true);
+    BOOST_TEST(fleet.allSee(6));
+    // Each object may be written by both watchers of its failure domain, which find it missing.
+    constexpr std::uint64_t MaxWrites = 10;
+    const auto arePublished = [&fleet] {
+        return fleet.platform->store().list("peers/").size() == 6;
+    };
+    BOOST_TEST(fleet.loop.runUntil(arePublished));
+    BOOST_TEST(fleet.loop.runUntil([&] { return fleet.platform->pendingCalls() == 2; }));
+    const auto writes = fleet.platform->accounting().write;
+    fleet.platform->restoreCopy();
+    const auto restored = BootClock::now();
+    BOOST_TEST(!arePublished());
+    BOOST_TEST(fleet.loop.runUntil(arePublished));
+    BOOST_TEST(toMs(BootClock::now() - restored) < toMs(ReturnBound));
+    BOOST_TEST(fleet.platform->accounting().write - writes <= MaxWrites);
+}
+
+// Guards against a node that stays listed under the address that it had in an earlier start,
+// because the store has returned to a copy from before its present one.
+BOOST_AUTO_TEST_CASE(own_address_is_written_again_after_a_return_of_the_store)
+{
+    constexpr const char *Own = "peers/node-0";
+    TaskFleet fleet;
+    schema::MemberRecord earlier;
+    earlier.set_node("node-0");
+    earlier.set_peer_address("127.0.0.1:1");
+    fleet.platform->put(Own, earlier.SerializeAsString());
+    fleet.platform->store().takeCopy();
+    fleet.add("a", false);
+    const auto isCurrent = [&fleet] {
+        return fleet.platform->store().read(Own)->value.find(fleet.addresses[0])
+               != std::string::npos;
+    };
+    BOOST_TEST(fleet.allSee(1));
+    BOOST_TEST(fleet.loop.runUntil(isCurrent));
+    BOOST_TEST(fleet.loop.runUntil([&] { return fleet.platform->pendingCalls() == 1; }));
+    fleet.platform->restoreCopy();
+    const auto restored = BootClock::now();
+    BOOST_TEST(!isCurrent());
+    BOOST_TEST(fleet.loop.runUntil(isCurrent));
+    BOOST_TEST(toMs(BootClock::now() - restored) < toMs(ReturnBound));
+}
--- a/tests/platform_restore_test.cpp
+++ b/tests/platform_restore_test.cpp
@@ -176,3 +176,18 @@
     BOOST_TEST(*lateWrite == ErrorCode::PlatformTimeout);
     BOOST_TEST(read(Head).value().version.era == server.store().era());
 }
+
+// Guards against a return of the store that is not reported, or reported more than once.
+BOOST_FIXTURE_TEST_CASE(each_return_is_reported_once, RestoreFixture)
+{
+    int returns = 0;
+    client.restored.connect([&returns] { ++returns; });
+    BOOST_TEST(read(Head).has_value());
+    BOOST_TEST(returns == 0);
+    for (int i = 1; i <= 2; ++i) {
+        server.restoreCopy();
+        BOOST_TEST(read(Head).has_value());
+        BOOST_TEST(read(Head).has_value());
+        BOOST_TEST(returns == i);
+    }
+}
