Keep a closing connection until its response is sent

What callers would see: a response cut one second after its request had ended, without a reset, if the caller pauses or reads slowly and the connection closes after the response. After SIGTERM that is every response, so the wait of a planned stop for unsent output did not help there.

Cause: the linger timeout, which gives the caller time to take what the kernel holds, started before the output buffer was empty. The idle timeout of a kept connection had the same effect.

Change: the linger timeout starts once all is written. Until then the idle timeout holds, and it starts again while the caller reads. A connection that is closed with unsent output is reset, so that the response does not look complete, and logged.

--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -313,20 +313,27 @@
         return;
     }
     m_state = State::Lingering;
-    setTimer(LingerTimeout);
-    if (!hasUnsentOutput())
+    if (hasUnsentOutput())
+        waitForFlush();
+    else
         shutdownWrite();
 }
 
-bool CallerConnection::hasUnsentOutput() const
+std::size_t CallerConnection::unsentBytes() const
+{
+    return evbuffer_get_length(bufferevent_get_output(m_events));
+}
+
+void CallerConnection::waitForFlush()
 {
-    return evbuffer_get_length(bufferevent_get_output(m_events)) > 0;
+    m_unsentBytes = unsentBytes();
+    setTimer(m_server.limits().idleTimeout);
 }
 
 void CallerConnection::enterIdle()
 {
     m_state = State::Idle;
-    setTimer(m_server.limits().idleTimeout);
+    waitForFlush();
     if (evbuffer_get_length(bufferevent_get_input(m_events)) > 0)
         m_nextRequestTimer.start(Duration::zero());
 }
@@ -334,6 +341,7 @@
 void CallerConnection::shutdownWrite()
 {
     shutdown(bufferevent_getfd(m_events), SHUT_WR);
+    setTimer(LingerTimeout);
 }
 
 void CallerConnection::abort()
@@ -366,7 +374,10 @@
     switch (m_state) {
     case State::Idle:
     case State::Lingering:
-        close(false);
+        if (unsentBytes() < m_unsentBytes)
+            waitForFlush();
+        else
+            closeUnread();
         break;
     case State::ReadingHead:
     case State::ReadingBody:
@@ -378,6 +389,14 @@
     }
 }
 
+void CallerConnection::closeUnread()
+{
+    const bool isIncomplete = hasUnsentOutput();
+    if (isIncomplete)
+        log::info("response-not-read", {{"unsent-bytes", unsentBytes()}});
+    close(isIncomplete);
+}
+
 void CallerConnection::close(bool reset)
 {
     if (std::exchange(m_state, State::Closed) == State::Closed)
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -29,7 +29,7 @@
     void abort();
 
     /// True if response bytes are not yet written to the socket.
-    bool hasUnsentOutput() const;
+    bool hasUnsentOutput() const { return unsentBytes() > 0; }
 
 private:
     enum class State { Idle, ReadingHead, ReadingBody, Responding, Lingering, Closed };
@@ -47,10 +47,15 @@
     Result<void> checkHead(std::string_view head) const;
     void fail(ErrorCode code, const std::string &detail);
     void deliverRequest(Error error);
+    /// Starts the idle timeout, which is extended as long as the caller reads.
+    void waitForFlush();
     void enterIdle();
     void onTimeout();
     void onFlushed();
     void shutdownWrite();
+    std::size_t unsentBytes() const;
+    /// Closes after a timeout; resets the connection if the caller did not read its response.
+    void closeUnread();
     void close(bool reset);
     void send(std::string_view bytes);
     void setTimer(Duration delay);
@@ -65,6 +70,7 @@
     CallerRequest *m_request = nullptr; // the open request, owned by the server's handler
     Framing m_framing = Framing::NoBody;
     std::uint64_t m_remainingLength = 0; // body bytes left of Content-Length
+    std::size_t m_unsentBytes = 0; // when the idle timeout started
     bool m_isHead = false;
     bool m_isHttp10 = false;
     bool m_keepAlive = true;
--- a/tests/http_caller_test.cpp
+++ b/tests/http_caller_test.cpp
@@ -52,6 +52,15 @@
     CallerServer server;
 };
 
+/// Reads until no input is available.
+void readAvailable(RawCaller &caller)
+{
+    for (auto before = caller.received.size(); caller.read(); before = caller.received.size()) {
+        if (caller.received.size() == before)
+            return;
+    }
+}
+
 struct InputCase
 {
     const char *name;
@@ -304,6 +313,38 @@
     BOOST_TEST(!caller.wasReset);
 }
 
+// Guards against a closing connection that drops the end of its response while the caller still
+// reads slowly or pauses.
+BOOST_FIXTURE_TEST_CASE(closing_connection_sends_its_whole_response, Fixture)
+{
+    constexpr std::size_t BodyBytes = 32u << 20; // more than the kernel's buffers take
+    constexpr Duration Pause = std::chrono::milliseconds(1500); // longer than the linger timeout
+    answer = [](CallerRequest &request) { request.respond(200, {}, std::string(BodyBytes, 'x')); };
+    RawCaller caller(address);
+    caller.send(Get + "Connection: close\r\n\r\n");
+    const auto resumed = BootClock::now() + Pause;
+    BOOST_REQUIRE(loop.runUntil([&] { return BootClock::now() > resumed; }));
+    BOOST_TEST(loop.runUntil([&] {
+        readAvailable(caller);
+        return caller.ended;
+    }));
+    BOOST_TEST(caller.received.size() > BodyBytes);
+    BOOST_TEST(!caller.wasReset);
+}
+
+// Guards against a connection that waits forever for a caller that reads nothing.
+BOOST_FIXTURE_TEST_CASE(closing_connection_does_not_wait_for_a_caller_that_reads_nothing, Fixture)
+{
+    constexpr std::size_t BodyBytes = 32u << 20;
+    CallerLimits limits;
+    limits.idleTimeout = std::chrono::milliseconds(100);
+    server.setLimits(limits);
+    answer = [](CallerRequest &request) { request.respond(200, {}, std::string(BodyBytes, 'x')); };
+    RawCaller caller(address);
+    caller.send(Get + "Connection: close\r\n\r\n");
+    BOOST_TEST(loop.runUntil([&] { return requests.size() == 1 && server.connections() == 0; }));
+}
+
 // Guards against a planned stop that takes a response for sent while its end is still in the output
 // buffer of the connection.
 BOOST_FIXTURE_TEST_CASE(unsent_output_is_reported_until_the_caller_reads, Fixture)
@@ -316,12 +357,7 @@
     BOOST_REQUIRE(loop.runUntil([&] { return requests.size() == 1; }));
     BOOST_TEST(server.connectionsWithUnsentOutput() == 1U);
     BOOST_TEST(loop.runUntil([&] {
-        while (caller.received.size() < BodyBytes) {
-            const auto before = caller.received.size();
-            caller.read();
-            if (caller.received.size() == before)
-                break;
-        }
+        readAvailable(caller);
         return caller.received.size() >= BodyBytes;
     }));
     BOOST_TEST(server.connectionsWithUnsentOutput() == 0U);
