Keep a peer connection while response bytes arrive

Cause: a connection whose PING stays unanswered for 1 s was taken as silent. On a slow or shared link the acknowledgement waits behind the response bytes, up to a stream window a stream and the buffers of the sockets.

Change: the connection is silent only if for 1 s no response bytes arrive either. New exchanges still need a completed round trip. A connection that goes silent in one direction only is found as before: without window updates the bytes stop after a window.

--- a/include/berylspur/transport/peer.h
+++ b/include/berylspur/transport/peer.h
@@ -25,7 +25,7 @@
 /// a PING of its own whose opaque data is a sequence number.
 inline constexpr Duration PingInterval = std::chrono::milliseconds(250);
 /// A connection without a completed round trip in this time sends no new exchange until one
-/// completes. It fails if a PING stays unanswered for this long.
+/// completes. It fails if a PING stays unanswered for this long and no response bytes arrive.
 inline constexpr Duration LivenessTimeout = std::chrono::seconds(1);
 
 enum class PeerMethod { Hello, Dispatch, Ask, Claim, Quota, Sync, Config, KeyHandover };
--- a/src/transport/peer_channel.cpp
+++ b/src/transport/peer_channel.cpp
@@ -5,6 +5,7 @@
 #include "http2_connection.h"
 #include "peer_names.h"
 
+#include <algorithm>
 #include <deque>
 #include <netinet/tcp.h>
 #include <optional>
@@ -129,6 +130,7 @@
     TimePoint m_lastTickAt {};
     TimePoint m_lastRoundTripStart {}; // start of the last completed round trip
     std::optional<TimePoint> m_pingSentAt; // time of the unanswered PING, or of the connect
+    TimePoint m_lastDataAt {}; // last arrival of response bytes
     Incarnation m_peerIncarnation = 0;
     std::function<void(ErrorCode)> m_onFailed;
 };
@@ -289,7 +291,9 @@
 void ChannelCore::checkLiveness()
 {
     const auto now = BootClock::now();
-    if (m_pingSentAt && now - *m_pingSentAt > LivenessTimeout) {
+    // On a slow link the acknowledgement of a PING waits behind response bytes, so a connection on
+    // which these arrive is not silent.
+    if (m_pingSentAt && now - std::max(*m_pingSentAt, m_lastDataAt) > LivenessTimeout) {
         fail(m_accepted ? ErrorCode::PeerSilent : ErrorCode::PeerUnreachable);
         return;
     }
@@ -336,6 +340,7 @@
 
 void ChannelCore::onData(std::int32_t stream, std::string_view bytes)
 {
+    m_lastDataAt = BootClock::now();
     if (const auto exchange = find(stream))
         exchange->receive(bytes);
 }
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -5,6 +5,7 @@
 #include "berylspur/transport/peer.h"
 #include "berylspur/transport/peer_pool.h"
 #include "loop.h"
+#include "slow_link.h"
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -107,6 +108,33 @@
     BOOST_TEST(server.value()->connectionsWithUnsentOutput() == 0U);
 }
 
+// Guards against a response that is cut although its bytes arrive: on a slow link the
+// acknowledgement of a PING waits behind them.
+BOOST_AUTO_TEST_CASE(slow_response_does_not_make_a_connection_silent)
+{
+    constexpr std::size_t BytesPerSecond = 40000;
+    constexpr std::size_t BodyBytes = 160000;
+    Loop loop;
+    const auto address = freeAddress();
+    auto server = PeerServer::listen(loop.base, address, ServerIdentity,
+                                     [&](const std::shared_ptr<PeerRequest> &request) {
+                                         request->reply("reply");
+                                         request->write(std::string(BodyBytes, 'x'));
+                                         request->finish();
+                                     });
+    BOOST_REQUIRE(server.has_value());
+    const SlowLink link(loop.base, address, BytesPerSecond);
+    const auto channel = PeerChannel::connect(loop.base, link.address(), ClientIdentity);
+    ReceivedResponse response;
+    PeerExchange *pending = nullptr;
+    const auto exchange =
+            channel->start(PeerMethod::Ask, emptyEnvelope, "", response.handler(&pending));
+    pending = exchange.get();
+    BOOST_TEST(loop.runUntil([&] { return response.ended.has_value(); }));
+    BOOST_TEST((response.ended == ErrorCode::Ok));
+    BOOST_TEST(response.payload.size() == BodyBytes);
+}
+
 // Guards against a truncated response that is reported as complete.
 BOOST_AUTO_TEST_CASE(aborted_response_is_reported_as_truncated)
 {
