Refuse queued requests when a stopping owner reaches its limit

What callers saw: a request that waited in the queue of an owner until its stop limit got 504, outcome unknown, although it had not run and another endpoint could have served it.

Cause: a stopping owner keeps its queue, which usually empties in time; at the limit only the gate's requests were answered.

Change: at the limit the owner refuses what is still queued as not run, so gates place it elsewhere or tell callers to come back.

Test: queued_requests_of_a_stopping_owner_are_refused_as_not_run, 504 before, 503 and no run now.

--- a/include/berylspur/owner/owner_task.h
+++ b/include/berylspur/owner/owner_task.h
@@ -56,6 +56,8 @@
     void setHeldByFloor(const std::string &endpoint, bool held);
     /// Refuses new requests. Requests in flight continue.
     void stop();
+    /// Refuses the requests that wait for a slot as not run, because the process is about to exit.
+    void refuseQueuedRequests();
 
     /// Number of queued or running requests.
     std::size_t openRequests() const;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -460,6 +460,7 @@
     }
     if (work.openRequests > 0) {
         log::warn("stop-limit-reached", {{"open", openRequests().dump()}});
+        m_owner.refuseQueuedRequests();
         m_gate.finishOpenRequests();
     }
     // A request that is accepted from here on would be dropped when the process ends.
--- a/src/owner/owner_announcements.cpp
+++ b/src/owner/owner_announcements.cpp
@@ -115,6 +115,13 @@
     }
 }
 
+void OwnerTask::Impl::refuseQueuedRequests()
+{
+    const auto now = BootClock::now();
+    for (auto &[id, endpoint] : m_endpoints)
+        refuseQueued(*endpoint, ErrorCode::NotRunStopping, now);
+}
+
 void OwnerTask::Impl::abortAllRequests(OwnedEndpoint &endpoint, TimePoint now)
 {
     refuseQueued(endpoint, ErrorCode::NotRunDraining, now);
--- a/src/owner/owner_task.cpp
+++ b/src/owner/owner_task.cpp
@@ -590,6 +590,11 @@
     m_impl->stop();
 }
 
+void OwnerTask::refuseQueuedRequests()
+{
+    m_impl->refuseQueuedRequests();
+}
+
 std::size_t OwnerTask::openRequests() const
 {
     return m_impl->openRequests();
--- a/src/owner/owner_task_impl.h
+++ b/src/owner/owner_task_impl.h
@@ -52,6 +52,7 @@
         m_stopping = true;
         publish(BootClock::now());
     }
+    void refuseQueuedRequests();
     std::size_t openRequests() const;
     nlohmann::json dump() const;
     std::string metrics() const;
--- a/tests/process_platform_stop_test.cpp
+++ b/tests/process_platform_stop_test.cpp
@@ -205,6 +205,33 @@
     BOOST_TEST(fleet.nodeProcess(1).waitForExit(seconds(10)).value_or(-1) == 0);
 }
 
+// Guards against requests in the queue of an owner that reaches its stop limit: nothing ran, so the
+// outcome must not be unknown.
+BOOST_AUTO_TEST_CASE(queued_requests_of_a_stopping_owner_are_refused_as_not_run)
+{
+    auto options = platformFleet();
+    options.nodes = 2;
+    options.slots = 1;
+    options.stopLimitMs = 700;
+    Fleet fleet(options);
+    BOOST_REQUIRE_EQUAL(fleet.start(), "");
+    fleet.backendProcess(0).signal(SIGTERM);
+    BOOST_REQUIRE(waitFor([&fleet] { return fleet.verdict(0, fleet.endpointId(0)) != "in"; }));
+    const auto postLater = [&fleet](const std::string &id) {
+        return std::async(std::launch::async, [&fleet, id] {
+            return call(fleet.node(0).caller, "POST", "/write/x?work-ms=2500", {idHeader(id)}, "b");
+        });
+    };
+    auto running = postLater("running");
+    BOOST_REQUIRE(waitFor([&fleet] { return fleet.runningOn("running").has_value(); }));
+    auto queued = postLater("queued");
+    BOOST_REQUIRE(waitFor([&fleet] { return fleet.state(1)["open"]["owner"] == 2; }));
+    fleet.nodeProcess(1).signal(SIGTERM);
+    BOOST_TEST(queued.get().status == 503);
+    BOOST_TEST(fleet.runsOfId("queued").started == 0);
+    BOOST_TEST(running.get().status != 503);
+}
+
 // Guards against a second SIGTERM, as overlapping maintenance sends it, that interrupts the
 // requests of a planned stop.
 BOOST_AUTO_TEST_CASE(a_second_sigterm_does_not_interrupt_a_planned_stop)
