Hold a request open in the test of requests at the end of a stop

The test requires that the stop reaches its limit (stop-limit-reached in the log), which its callers brought about by sending requests until then. The bound and all checks stay; a request of 20 s keeps the stop open until the limit and must get 504 there.

--- a/tests/process_platform_test.cpp
+++ b/tests/process_platform_test.cpp
@@ -423,6 +423,11 @@
     options.slots = 2 * Callers;
     Fleet fleet(options);
     BOOST_REQUIRE_EQUAL(fleet.start(), "");
+    // A stop reaches its limit only with a request that is open then.
+    auto held = std::async(std::launch::async, [&fleet] {
+        return call(fleet.node(0).caller, "GET", "/long/x?work-ms=20000", {idHeader("held")});
+    });
+    BOOST_REQUIRE(waitFor([&fleet] { return fleet.runningOn("held").has_value(); }));
     std::atomic<bool> hasExited = false;
     // Each request takes longer than the time between the stop limit and the end of the process.
     const auto sendUntilExit = [&](int caller) {
@@ -448,5 +453,6 @@
         for (const auto &id : caller.get())
             BOOST_TEST(fleet.runsOfId(id).started == 0, id);
     }
+    BOOST_TEST(held.get().status == 504);
     BOOST_TEST(fleet.nodeLog(0).find("stop-limit-reached") != std::string::npos);
 }
