Refuse requests for a service that is not configured

What callers would see: the node's process ends at the first request that draws a part of a weighted route whose service the configuration does not contain, and all open requests are lost. The users' store accepts only valid configurations, so it may never occur there.

Cause: checkRateLimit() used the service's configuration without asking whether there is one; a service that is deleted while a request waits for a lease leads to the same place (read, not run).

Change: such a request is refused as not run.

--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -158,7 +158,13 @@
 
 void GateRequest::checkRateLimit(bool isRecheck)
 {
-    const auto limit = rateLimitFor(*m_context.routes.service(m_service), m_customer);
+    // A route may name a service that is not configured, or was deleted while the request waited.
+    const auto *config = m_context.routes.service(m_service);
+    if (!config) {
+        refuse(ErrorCode::NotRunNoEndpoint);
+        return;
+    }
+    const auto limit = rateLimitFor(*config, m_customer);
     if (limit.rate == 0) {
         startAttempt();
         return;
--- a/tests/process_platform_test.cpp
+++ b/tests/process_platform_test.cpp
@@ -235,6 +235,30 @@
     }
 }
 
+// Guards against a process that ends at a request for a part of a route whose service the
+// configuration does not contain.
+BOOST_AUTO_TEST_CASE(part_of_a_route_without_its_service_is_refused)
+{
+    constexpr const char *Configuration = R"({"metadata": {"name": "main"}, "spec": {
+        "version": "00000020", "resources": [
+        {"typeUrl": "routes", "metadata": {"name": "r"}, "spec": {"host": "svc.example",
+         "pathPrefix": "/read/", "type": "idempotent", "timeout": "3s", "targetLatency": "1s",
+         "attempts": 3, "priority": 1, "weightedServices": [{"service": "svc", "weight": 1},
+         {"service": "absent", "weight": 1}]}},
+        {"typeUrl": "services", "metadata": {"name": "svc"}, "spec": {"healthPath": "/healthz"}}]}})";
+    Fleet fleet(platformFleet());
+    BOOST_REQUIRE_EQUAL(fleet.start(), "");
+    call(fleet.platformPort(), "PUT", "/v1/objects/config/main", {}, Configuration);
+    BOOST_REQUIRE(waitFor([&fleet] { return fleet.revision(0) == 0x20; }));
+    int refused = 0;
+    for (int i = 0; i < Repeats; ++i) {
+        const auto status = get(fleet, 0, "part-" + std::to_string(i)).status;
+        BOOST_TEST((status == 200 || status == 503));
+        refused += status == 503 ? 1 : 0;
+    }
+    BOOST_TEST(refused > 0);
+}
+
 // Guards against a SIGHUP that terminates the process, which is the signal's default action.
 BOOST_AUTO_TEST_CASE(reload_does_not_interrupt_requests)
 {
