--- a/include/berylspur/gate/stop_admission.h
+++ b/include/berylspur/gate/stop_admission.h
@@ -17,7 +17,7 @@
 struct GateStop
 {
     StopAdmission admission = StopAdmission::All;
-    /// Open requests are answered and the process ends at this time at the latest.
+    /// Open requests are answered at this time at the latest; the process ends shortly afterwards.
     TimePoint end = TimePoint::max();
 };
 
