End a closing connection one second after its response, also if it was read slowly

Found in the read-through.

Test: closing_connection_ends_after_a_response_that_was_read_slowly; before, the connection was still open after 20 s.

--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -341,6 +341,7 @@
 void CallerConnection::shutdownWrite()
 {
     shutdown(bufferevent_getfd(m_events), SHUT_WR);
+    m_unsentBytes = 0;
     setTimer(LingerTimeout);
 }
 
--- a/tests/http_caller_test.cpp
+++ b/tests/http_caller_test.cpp
@@ -332,6 +332,22 @@
     BOOST_TEST(!caller.wasReset);
 }
 
+// Guards against a connection that stays open after its response because the caller, who read it
+// slowly, does not close its side.
+BOOST_FIXTURE_TEST_CASE(closing_connection_ends_after_a_response_that_was_read_slowly, Fixture)
+{
+    constexpr std::size_t BodyBytes = 32u << 20;
+    answer = [](CallerRequest &request) { request.respond(200, {}, std::string(BodyBytes, 'x')); };
+    RawCaller caller(address);
+    caller.send(Get + "Connection: close\r\n\r\n");
+    BOOST_REQUIRE(loop.runUntil([&] { return server.connectionsWithUnsentOutput() == 1; }));
+    BOOST_REQUIRE(loop.runUntil([&] {
+        readAvailable(caller);
+        return caller.ended;
+    }));
+    BOOST_TEST(loop.runUntil([&] { return server.connections() == 0; }));
+}
+
 // Guards against a connection that waits forever for a caller that reads nothing.
 BOOST_FIXTURE_TEST_CASE(closing_connection_does_not_wait_for_a_caller_that_reads_nothing, Fixture)
 {
