Choose the slow callers of the test of unsent responses one by one

The test opened three callers at sizes just below one that the gate still held, and required that the gate had forgotten all three. Callers are now taken only if the gate has forgotten their requests; three are required, and the checks on their responses stay.

--- a/tests/process_platform_stop_test.cpp
+++ b/tests/process_platform_stop_test.cpp
@@ -117,6 +117,23 @@
     return held;
 }
 
+/// Callers that read nothing and whose requests the gate of node 0 has forgotten, with responses
+/// just below the size that it holds. Sizes that it still holds are passed over: the kernel's
+/// buffers differ between connections.
+std::vector<std::unique_ptr<SlowCaller>> forgottenCallers(const Fleet &fleet, std::size_t count)
+{
+    constexpr int QuarterWindowBytes = 16 << 10;
+    std::vector<std::unique_ptr<SlowCaller>> callers;
+    for (int bytes = smallestHeldResponse(fleet); callers.size() < count && bytes > 0;
+         bytes -= QuarterWindowBytes) {
+        auto caller = std::make_unique<SlowCaller>(fleet.node(0).caller, longTarget(bytes),
+                                                   "slow-" + std::to_string(bytes));
+        if (caller->readStep() && isForgottenUnread(fleet))
+            callers.push_back(std::move(caller));
+    }
+    return callers;
+}
+
 } // namespace
 
 // Guards against a stopping node with an open request that accepts new requests after the time in
@@ -169,16 +186,8 @@
 {
     Fleet fleet(platformFleet());
     BOOST_REQUIRE_EQUAL(fleet.start(), "");
-    constexpr int QuarterWindowBytes = 16 << 10;
-    const int held = smallestHeldResponse(fleet);
-    std::vector<std::unique_ptr<SlowCaller>> callers;
-    for (int i = 1; i <= 3; ++i) {
-        callers.push_back(std::make_unique<SlowCaller>(fleet.node(0).caller,
-                                                       longTarget(held - i * QuarterWindowBytes),
-                                                       "slow-" + std::to_string(i)));
-        BOOST_REQUIRE(callers.back()->readStep());
-    }
-    BOOST_REQUIRE(isForgottenUnread(fleet));
+    const auto callers = forgottenCallers(fleet, 3);
+    BOOST_REQUIRE(callers.size() == 3U);
     fleet.nodeProcess(0).signal(SIGTERM);
     std::this_thread::sleep_for(seconds(2));
     for (const auto &caller : callers)
