Share the wait for a configuration between two tests

Change: one function, isInForce(). No check changes. The two cases pass (configuration_survives_compaction_and_never_goes_back, configuration_survives_a_return_of_the_store); the rest of the program was not run again.

--- a/tests/process_platform_test.cpp
+++ b/tests/process_platform_test.cpp
@@ -58,6 +58,18 @@
     return at == std::string::npos ? 0 : std::strtod(text.c_str() + at + name.size() + 2, nullptr);
 }
 
+/// Waits until all nodes have the configuration with \a version.
+bool isInForce(const Fleet &fleet, std::uint64_t version)
+{
+    return waitFor([&fleet, version] {
+        for (int i = 0; i < fleet.nodeCount(); ++i) {
+            if (fleet.revision(i) != version)
+                return false;
+        }
+        return true;
+    });
+}
+
 struct RequestCase
 {
     const char *guards; ///< failure that the case guards against
@@ -176,22 +188,13 @@
 {
     Fleet fleet(platformFleet());
     BOOST_REQUIRE_EQUAL(fleet.start(), "");
-    const auto inForce = [&fleet](std::uint64_t version) {
-        return waitFor([&fleet, version] {
-            for (int i = 0; i < fleet.nodeCount(); ++i) {
-                if (fleet.revision(i) != version)
-                    return false;
-            }
-            return true;
-        });
-    };
     fleet.setPlatformFaults({{"compact", true}});
     fleet.configure(0x20, "/added/");
-    BOOST_TEST(inForce(0x20));
+    BOOST_TEST(isInForce(fleet, 0x20));
     fleet.configure(0x10);
     // Once the newer version is in force, the older one has been read.
     fleet.configure(0x30, "/added/");
-    BOOST_TEST(inForce(0x30));
+    BOOST_TEST(isInForce(fleet, 0x30));
     for (int i = 0; i < fleet.nodeCount(); ++i) {
         const auto response =
                 call(fleet.node(i).caller, "GET", "/added/x?work-ms=1", {idHeader("added")});
@@ -206,25 +209,16 @@
 {
     Fleet fleet(platformFleet());
     BOOST_REQUIRE_EQUAL(fleet.start(), "");
-    const auto inForce = [&fleet](std::uint64_t version) {
-        return waitFor([&fleet, version] {
-            for (int i = 0; i < fleet.nodeCount(); ++i) {
-                if (fleet.revision(i) != version)
-                    return false;
-            }
-            return true;
-        });
-    };
     fleet.configure(0x10);
-    BOOST_TEST(inForce(0x10));
+    BOOST_TEST(isInForce(fleet, 0x10));
     fleet.setPlatformFaults({{"take-copy", true}});
     for (const auto version : {0x20, 0x28})
         fleet.configure(version, "/lost/");
-    BOOST_TEST(inForce(0x28));
+    BOOST_TEST(isInForce(fleet, 0x28));
     fleet.setPlatformFaults({{"restore-copy", true}});
     fleet.configure(0x28, "/lost/");
     fleet.configure(0x30, "/added/");
-    BOOST_TEST(inForce(0x30));
+    BOOST_TEST(isInForce(fleet, 0x30));
     for (int i = 0; i < fleet.nodeCount(); ++i) {
         const auto response =
                 call(fleet.node(i).caller, "GET", "/added/x?work-ms=1", {idHeader("added")});
