--- a/review/build.sh
+++ b/review/build.sh
@@ -5,5 +5,5 @@
 mkdir -p build/review
 for source in review/*/case.cpp; do
   name=$(basename "$(dirname "$source")")
-  g++ -std=c++20 -O1 -Wall -Wextra -pthread -I review/common "$source" -o "build/review/case-$name"
+  g++ -std=c++20 -O1 -Wall -Wextra -pthread -I review "$source" -o "build/review/case-$name"
 done
