Keep the departure of an endpoint beyond the process that acknowledged it

A heartbeat that the endpoint had sent before arrives late; the new process takes it for a new endpoint, and some 60 requests reach the endpoint until it exits. Those that cannot be repeated and run then end with 504.

Cause: the departure was kept only in OwnedEndpoint::withdrawn, in the memory of the owner. Neither the member record that peers hold nor the node's object on the platform contained it, and nothing but it tells a heartbeat from before the departure from one after it. The same holds for an endpoint that announced "draining", and for a withdrawal that arrives before any heartbeat of its endpoint, which was acknowledged and forgotten.

Change: - IncarnationHistory decides in one place which incarnation of an id or address goes before which; it takes the place of OwnerTask::Impl::isOutdated(). - A departure is published in the member record (start time, has_left) and written to the node's own object on the platform. The acknowledgement waits for the platform, or after 300 ms for a peer that confirms its copy, at most 700 ms in all (the endpoint waits 1 s). - A node that starts holds announcements of ready endpoints until it has joined and has read its object, which it did before anyway, or has waited 1 s for it; the peer through which it joins returns what earlier processes of the node published, also if the peer has heard of the new process already. - Departures are kept for 5 minutes, 64 at most.

Changed test: reordered_announcements_are_ignored compared the published records.

--- a/include/berylspur/membership/member_table.h
+++ b/include/berylspur/membership/member_table.h
@@ -90,6 +90,8 @@
     /// Endpoints of \a service on all members of the table, sorted by id. Those of dead and left
     /// members have ownerAlive unset.
     std::vector<EndpointView> endpoints(const std::string &service) const;
+    /// Endpoints that \a node publishes, and those that its earlier processes published.
+    std::vector<schema::EndpointRecord> earlierEndpoints(const std::string &node) const;
     /// Ids of the endpoints of all members of the table.
     std::unordered_set<std::string> endpointIds() const;
     /// Changes whenever an endpoint or a status changes. Gates use it to invalidate their caches.
@@ -125,6 +127,8 @@
         TimePoint statusSince;
         /// By endpoint: those whose trial begins without another update.
         std::map<std::string, TrackedSuspicion> suspicions;
+        /// Endpoints with a start time that earlier incarnations of the node published, by id.
+        std::map<std::string, schema::EndpointRecord> earlierEndpoints;
     };
 
     bool mergeOwn(const schema::MemberRecord &record, TimePoint now);
@@ -132,6 +136,7 @@
     bool mergeStatus(Member &member, const schema::MemberRecord &record, TimePoint now);
     bool setStatus(const std::string &node, schema::MemberStatus status, TimePoint now);
     void trackSuspicions(Member &member) const;
+    static void keepEarlierEndpoints(Member &member);
     /// Time at which the trial of \a endpoint begins without another update, or TimePoint::max().
     static TimePoint trialStart(const Member &member, const schema::EndpointRecord &endpoint);
     void addToServiceIndex(const schema::MemberRecord &record);
--- a/include/berylspur/membership/membership_task.h
+++ b/include/berylspur/membership/membership_task.h
@@ -9,6 +9,7 @@
 #include "platform/platform_client.h"
 
 #include <event2/event.h>
+#include <functional>
 #include <memory>
 #include <sigc++/sigc++.h>
 
@@ -29,6 +30,10 @@
     const MemberTable &table() const;
     /// Sets the endpoints of this node with their state and suspicion. Changes are pushed to peers.
     void setOwnEndpoints(const std::vector<schema::EndpointRecord> &endpoints);
+    /// Calls \a done once the departures among the endpoints of setOwnEndpoints() will outlast this
+    /// process: in its object on the platform or, if the platform does not confirm in time, at a
+    /// peer; at the latest after a limit. At once if nothing was added since the last call.
+    void saveDepartures(std::function<void()> done);
     /// Sets the highest configuration revision in force on this node. Every packet carries it, and
     /// a higher one is pushed.
     void setConfigRevision(std::uint64_t revision);
@@ -54,6 +59,11 @@
             revisionSeen;
     /// Emitted once, when the bootstrap is complete.
     sigc::signal<void()> joined;
+    /// Emitted when the platform or a peer returns endpoints that earlier processes of this node
+    /// published.
+    sigc::signal<void(const std::vector<schema::EndpointRecord> &)> earlierEndpointsFound;
+    /// Emitted once, when both have been asked.
+    sigc::signal<void()> earlierEndpointsKnown;
 
 private:
     class Impl;
--- a/include/berylspur/owner/owner_task.h
+++ b/include/berylspur/owner/owner_task.h
@@ -40,6 +40,14 @@
     /// Handles the withdrawal of an endpoint on this host.
     void withdraw(const Withdrawal &withdrawal);
 
+    /// Holds announcements of ready endpoints until endWaitForHistory(), because an earlier process
+    /// of this node may have acknowledged that they leave.
+    void waitForHistory();
+    /// Adds the endpoints that earlier processes of this node published.
+    void learnIncarnations(const std::vector<schema::EndpointRecord> &records);
+    /// Handles the announcements that were held. Only the first call has an effect.
+    void endWaitForHistory();
+
     /// Applies the configuration of services that changed.
     void configure(const std::vector<const schema::ServiceConfig *> &changed);
     /// Handles PeerMethod::Dispatch from a gate.
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Endpoints of earlier processes that are kept for each node.
+constexpr std::size_t MaxEarlierEndpoints = 64;
+
 /// Dead or left.
 bool isGone(schema::MemberStatus status)
 {
@@ -85,8 +88,10 @@
         removeFromServiceIndex(found->second.record);
     }
     Member &member = m_members[record.node()];
-    if (member.record.incarnation() != record.incarnation())
+    if (member.record.incarnation() != record.incarnation()) {
         member.suspicions.clear();
+        keepEarlierEndpoints(member);
+    }
     member.record = record;
     trackSuspicions(member);
     member.record.clear_gone_s();
@@ -392,6 +397,31 @@
     return views;
 }
 
+void MemberTable::keepEarlierEndpoints(Member &member)
+{
+    for (const auto &endpoint : member.record.endpoints()) {
+        auto &earlier = member.earlierEndpoints;
+        if (endpoint.started_at_ms() == 0
+            || (earlier.size() >= MaxEarlierEndpoints && !earlier.contains(endpoint.id())))
+            continue;
+        earlier[endpoint.id()] = endpoint;
+    }
+}
+
+std::vector<schema::EndpointRecord> MemberTable::earlierEndpoints(const std::string &node) const
+{
+    std::vector<schema::EndpointRecord> endpoints;
+    const auto found = m_members.find(node);
+    if (found == m_members.end())
+        return endpoints;
+    const Member &member = found->second;
+    for (const auto &[id, endpoint] : member.earlierEndpoints)
+        endpoints.push_back(endpoint);
+    endpoints.insert(endpoints.end(), member.record.endpoints().begin(),
+                     member.record.endpoints().end());
+    return endpoints;
+}
+
 std::unordered_set<std::string> MemberTable::endpointIds() const
 {
     std::unordered_set<std::string> ids;
--- a/src/membership/membership_bootstrap.cpp
+++ b/src/membership/membership_bootstrap.cpp
@@ -109,7 +109,9 @@
 void MembershipTask::Impl::joinVia(const std::string &address)
 {
     m_joining = true;
-    sync(address, table().digest(), 0, [this](bool complete) {
+    auto digest = table().digest();
+    digest.set_starting_node(table().self().node());
+    sync(address, digest, 0, [this](bool complete) {
         m_joining = false;
         if (complete)
             finishBootstrap();
@@ -167,19 +169,31 @@
     log::info("joined", {{"members", table().size()}, {"fleet-new", m_isFleetNew ? 1 : 0}});
     pushNow();
     m_task.joined.emit();
+    checkEarlierEndpointsKnown();
 }
 
-std::string MembershipTask::Impl::peerObject(const std::string &node, const std::string &address)
+std::string MembershipTask::Impl::peerObject(const schema::MemberRecord &member)
 {
-    schema::MemberRecord record;
-    record.set_node(node);
-    record.set_peer_address(address);
-    return record.SerializeAsString();
+    schema::MemberRecord object;
+    object.set_node(member.node());
+    object.set_peer_address(member.peer_address());
+    std::map<std::string, std::int64_t> departures;
+    for (const auto &endpoint : member.endpoints()) {
+        if (endpoint.has_left())
+            departures[endpoint.id()] = endpoint.started_at_ms();
+    }
+    for (const auto &[id, startedAtMs] : departures) {
+        auto &departure = *object.add_endpoints();
+        departure.set_id(id);
+        departure.set_started_at_ms(startedAtMs);
+        departure.set_has_left(true);
+    }
+    return object.SerializeAsString();
 }
 
 std::string MembershipTask::Impl::ownPeerObject() const
 {
-    return peerObject(m_settings.node().name(), advertised(m_settings.addresses()));
+    return peerObject(table().self());
 }
 
 void MembershipTask::Impl::publishSelf()
@@ -195,6 +209,7 @@
 {
     if (result) {
         log::info("published", {{"object", objectName()}, {"version", result.value().revision}});
+        onOwnObjectRead();
         return;
     }
     if (result.error().code == ErrorCode::PlatformConflict) {
@@ -219,9 +234,11 @@
             onPublished(object.as_failure());
             return;
         }
-        const bool same = stored.ParseFromString(object.value().value)
-                          && stored.peer_address() == advertised(m_settings.addresses());
-        if (same)
+        if (!m_ownObjectRead && stored.ParseFromString(object.value().value)) {
+            onEarlierEndpoints({stored.endpoints().begin(), stored.endpoints().end()});
+            onOwnObjectRead();
+        }
+        if (object.value().value == ownPeerObject())
             return;
         m_platform.write(objectName(), ownPeerObject(), object.value().version,
                          [this, alive](const Result<ObjectVersion> &result) {
@@ -291,7 +308,7 @@
     const auto *member = table().find(node);
     if (!member)
         return;
-    m_platform.write(objectName(node), peerObject(node, member->peer_address()), NoObject,
+    m_platform.write(objectName(node), peerObject(*member), NoObject,
                      [this, node, alive = std::weak_ptr(m_alive)](const auto &result) {
                          if (!alive.expired())
                              onMissingObjectWritten(node, result);
--- a/src/membership/membership_task.cpp
+++ b/src/membership/membership_task.cpp
@@ -68,6 +68,8 @@
       m_finishTimer(base, [this] { finishExchanges(); }),
       m_restoredTimer(base, [this] { checkPeerObjects(); }),
       m_missingObjectTimer(base, [this] { writeNextMissingObject(); }),
+      m_saveTimer(base, [this] { onSaveTimer(); }),
+      m_ownObjectTimer(base, [this] { onOwnObjectRead(); }),
       m_restoredConnection(platform.restored.connect([this] { onStoreRestored(); }))
 {
 }
@@ -96,6 +98,8 @@
     m_lastTick = BootClock::now();
     m_tickTimer.start(Duration::zero());
     m_bootstrapTimer.start(Duration::zero());
+    m_savedObject = ownPeerObject();
+    m_ownObjectTimer.start(OwnObjectWait);
     publishSelf();
     return success();
 }
@@ -247,6 +251,7 @@
 {
     const auto now = BootClock::now();
     m_machine.merge({reply.newer().begin(), reply.newer().end()}, m_joined, now);
+    onEarlierEndpoints({reply.earlier_endpoints().begin(), reply.earlier_endpoints().end()});
     if (reply.wanted_size() > 0) {
         schema::Digest offer;
         offer.set_selected(true);
@@ -309,6 +314,10 @@
     if (digest.ParseFromString(envelope)) {
         m_machine.merge({digest.records().begin(), digest.records().end()}, true, BootClock::now());
         reply = table().compare(digest);
+        if (!digest.starting_node().empty()) {
+            for (auto &endpoint : table().earlierEndpoints(digest.starting_node()))
+                *reply.add_earlier_endpoints() = std::move(endpoint);
+        }
         processEvents();
     }
     return reply.SerializeAsString();
@@ -337,6 +346,11 @@
     m_impl->setOwnEndpoints(endpoints);
 }
 
+void MembershipTask::saveDepartures(std::function<void()> done)
+{
+    m_impl->saveDepartures(std::move(done));
+}
+
 void MembershipTask::setConfigRevision(std::uint64_t revision)
 {
     m_impl->setConfigRevision(revision);
--- a/src/membership/membership_task_impl.h
+++ b/src/membership/membership_task_impl.h
@@ -18,6 +18,8 @@
 
 inline constexpr Duration SyncInterval = std::chrono::seconds(30);
 inline constexpr std::string_view PeersPrefix = "peers/";
+/// A starting node waits this long for its object on the platform.
+inline constexpr Duration OwnObjectWait = std::chrono::seconds(1);
 
 inline const std::string &advertised(const schema::NodeAddresses &addresses)
 {
@@ -60,6 +62,7 @@
         if (m_machine.setKeyQuorum(quorum))
             pushNow();
     }
+    void saveDepartures(std::function<void()> done);
     void leave()
     {
         m_machine.leave();
@@ -80,6 +83,17 @@
 
     enum class BootstrapPhase { ConfiguredPeers, Platform, Done };
 
+    /// A save of the own object in progress.
+    struct Save
+    {
+        std::uint64_t number = 0; ///< tells late confirmations of an earlier save
+        std::string object;
+        bool isOnPlatform = false;
+        bool isPlatformLate = false; ///< or its call failed
+        bool isAtPeer = false;
+        bool isOverdue = false;
+    };
+
     // Socket.
     void onTick();
     void onReadable();
@@ -123,12 +137,23 @@
     void queueMissingObjects(const std::vector<PlatformObject> &objects);
     void writeNextMissingObject();
     void onMissingObjectWritten(const std::string &node, const Result<ObjectVersion> &result);
-    static std::string peerObject(const std::string &node, const std::string &address);
+    static std::string peerObject(const schema::MemberRecord &member);
     std::string ownPeerObject() const;
     void onRediscoveryTimer();
     void pingUnknownOrDeadMembers(const std::vector<PlatformObject> &objects);
     void pingDeadMember();
 
+    // Departures of own endpoints, which must outlast this process.
+    void startSave();
+    void copyToPeer(std::uint64_t save);
+    void onSaveTimer();
+    /// Ends the save if the platform confirmed it, or a peer did and the platform is late.
+    void checkSave();
+    void finishSave();
+    void onEarlierEndpoints(const std::vector<schema::EndpointRecord> &endpoints);
+    void onOwnObjectRead();
+    void checkEarlierEndpointsKnown();
+
     Duration jitter(Duration max)
     {
         return Duration(std::uniform_int_distribution<Duration::rep>(0, max.count())(m_random));
@@ -163,6 +188,8 @@
     Timer m_finishTimer;
     Timer m_restoredTimer;
     Timer m_missingObjectTimer;
+    Timer m_saveTimer;
+    Timer m_ownObjectTimer;
     sigc::connection m_restoredConnection;
     /// Callbacks hold a weak pointer to it, because platform and peer calls may outlive this
     /// object.
@@ -181,6 +208,12 @@
     std::size_t m_nextConfiguredPeer = 0;
     std::size_t m_nextDead = 0;
     Duration m_publishRetry {};
+    std::optional<Save> m_save;
+    std::uint64_t m_saveNumber = 0;
+    std::string m_savedObject; ///< own object as last saved
+    std::vector<std::function<void()>> m_saveWaiters;
+    bool m_ownObjectRead = false; ///< or given up
+    bool m_earlierEndpointsKnown = false;
     /// Reachable members whose objects the store has lost, in the order in which they are written.
     std::vector<std::string> m_missingObjects;
 };
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -171,6 +171,11 @@
     m_owner.endpointsChanged.connect([this](const std::vector<schema::EndpointRecord> &endpoints) {
         m_membership.setOwnEndpoints(endpoints);
     });
+    m_membership.earlierEndpointsFound.connect(
+            [this](const std::vector<schema::EndpointRecord> &endpoints) {
+                m_owner.learnIncarnations(endpoints);
+            });
+    m_membership.earlierEndpointsKnown.connect([this] { m_owner.endWaitForHistory(); });
     m_owner.decisionMade.connect(
             [this](const schema::DecisionRecord &decision) { recordDecision(decision); });
     m_gate.decisionMade.connect([this](const schema::DecisionRecord &decision) {
@@ -256,11 +261,15 @@
 {
     if (!isIntegrated())
         return success();
+    m_owner.waitForHistory();
     platform::HeartbeatHandlers handlers;
     handlers.onAnnouncement = [this](const Announcement &announcement) {
         return m_owner.announce(announcement);
     };
     handlers.onWithdrawal = [this](const Withdrawal &withdrawal) { m_owner.withdraw(withdrawal); };
+    handlers.saveDepartures = [this](std::function<void()> done) {
+        m_membership.saveDepartures(std::move(done));
+    };
     handlers.isReady = [this] { return !m_stop && m_config.isReady() && m_membership.isJoined(); };
     m_heartbeatServer = std::make_unique<platform::HeartbeatServer>(m_base, std::move(handlers));
     if (auto listening = m_heartbeatServer->listen(parseChecked(m_settings.addresses().announce()));
--- a/src/owner/owned_endpoint.h
+++ b/src/owner/owned_endpoint.h
@@ -59,6 +59,7 @@
     std::unordered_map<RequestId, OwnedRequest> requests;
     bool drainedByManifest = false;
     bool withdrawn = false; // the endpoint announced its shutdown
+    bool isStartUnconfirmed = false; // found by a health check; info.startedAtMs may be too early
 
     bool isDraining() const
     {
--- a/src/owner/owner_announcements.cpp
+++ b/src/owner/owner_announcements.cpp
@@ -1,4 +1,5 @@
 // Handling of announcements and withdrawals: endpoints, their incarnations and draining.
+#include "berylspur/core/enum_table.h"
 #include "berylspur/core/log.h"
 #include "owner_task_impl.h"
 
@@ -13,6 +14,12 @@
 /// Latency checks resume this long after the last announcement of a cold start.
 constexpr Duration ColdGrace = std::chrono::seconds(5);
 
+constexpr EnumTable<AnnouncementVerdict, 3> VerdictNames {{
+        {AnnouncementVerdict::Current, "current"},
+        {AnnouncementVerdict::Outdated, "outdated"},
+        {AnnouncementVerdict::HasLeft, "has-left"},
+}};
+
 } // namespace
 
 void OwnerTask::Impl::applyDrain(OwnedEndpoint &endpoint)
@@ -39,11 +46,12 @@
 OwnedEndpoint &OwnerTask::Impl::endpointFor(const Announcement &announcement)
 {
     auto &entry = m_endpoints[announcement.id];
+    const bool hasOtherStart = entry && entry->info.startedAtMs != announcement.startedAtMs;
     // A health check does not return the start time; the first announcement adds it.
-    const bool startKnown = entry && entry->info.startedAtMs != 0;
-    if (entry && !startKnown)
+    const bool addsStart = entry && std::exchange(entry->isStartUnconfirmed, false);
+    if (addsStart)
         entry->info.startedAtMs = announcement.startedAtMs;
-    const bool restarted = startKnown && entry->info.startedAtMs != announcement.startedAtMs;
+    const bool restarted = hasOtherStart && !addsStart;
     const bool moved =
             entry && entry->info.address != announcement.address && entry->requests.empty();
     if (restarted)
@@ -59,19 +67,6 @@
     return *entry;
 }
 
-bool OwnerTask::Impl::isOutdated(const Announcement &announcement) const
-{
-    return std::any_of(m_endpoints.begin(), m_endpoints.end(), [&](const auto &item) {
-        const auto &known = item.second->info;
-        if (item.first != announcement.id)
-            return known.address == announcement.address
-                   && known.startedAtMs > announcement.startedAtMs;
-        if (known.startedAtMs != announcement.startedAtMs)
-            return known.startedAtMs > announcement.startedAtMs;
-        return announcement.sequence != 0 && announcement.sequence <= known.sequence;
-    });
-}
-
 void OwnerTask::Impl::removePredecessors(const Announcement &announcement)
 {
     const auto now = BootClock::now();
@@ -82,6 +77,8 @@
             return false;
         // Requests in flight end with their connections. The endpoint is removed after that.
         endpoint.withdrawn = true;
+        if (endpoint.info.startedAtMs != 0)
+            m_incarnations.recordDeparture(item.first, endpoint.info.startedAtMs, now);
         refuseQueued(endpoint, ErrorCode::NotRunDraining, now);
         return endpoint.requests.empty();
     });
@@ -146,12 +143,25 @@
                   {{"endpoint", announcement.id}, {"service", announcement.service}});
         return false;
     }
-    if (isOutdated(announcement)) {
-        log::info("announcement-outdated", {{"endpoint", announcement.id},
-                                            {"started-at-ms", announcement.startedAtMs},
-                                            {"sequence", announcement.sequence}});
+    const auto verdict = m_incarnations.judge(announcement, now);
+    if (verdict != AnnouncementVerdict::Current) {
+        log::info("announcement-ignored", {{"endpoint", announcement.id},
+                                           {"reason", enumName(VerdictNames, verdict)},
+                                           {"started-at-ms", announcement.startedAtMs},
+                                           {"sequence", announcement.sequence}});
         return true;
     }
+    if (m_awaitsHistory && announcement.readiness != EndpointReadiness::Draining) {
+        m_heldAnnouncements[announcement.id] = announcement;
+        return true;
+    }
+    m_incarnations.recordAnnouncement(announcement, now);
+    registerEndpoint(announcement, now);
+    return true;
+}
+
+OwnedEndpoint &OwnerTask::Impl::registerEndpoint(const Announcement &announcement, TimePoint now)
+{
     removePredecessors(announcement);
     auto &endpoint = endpointFor(announcement);
     const bool wasDraining = endpoint.info.readiness == EndpointReadiness::Draining;
@@ -173,35 +183,67 @@
     endpoint.lease.renew(now, m_leaseTerm);
     endpoint.lastAnnounced = now;
     publish(now);
-    return true;
+    return endpoint;
 }
 
 void OwnerTask::Impl::handleDiscoveredEndpoint(const Announcement &announcement)
 {
     if (!m_endpoints.empty())
         return;
+    if (m_awaitsHistory) {
+        m_heldDiscovery = announcement;
+        return;
+    }
+    const auto now = BootClock::now();
+    const auto found = m_incarnations.recordHealthCheck(announcement, now);
     log::info("endpoint-found", {{"endpoint", announcement.id},
                                  {"service", announcement.service},
-                                 {"slots", announcement.slots}});
-    handleAnnouncement(announcement);
+                                 {"slots", announcement.slots},
+                                 {"has-left", found ? 0 : 1}});
+    if (found)
+        registerEndpoint(*found, now).isStartUnconfirmed = true;
 }
 
-void OwnerTask::Impl::handleWithdrawal(const Withdrawal &withdrawal)
+void OwnerTask::Impl::learnIncarnations(const std::vector<schema::EndpointRecord> &records)
 {
-    const auto found = m_endpoints.find(withdrawal.id);
-    if (found == m_endpoints.end()) {
-        log::info("withdrawal-of-unknown-endpoint", {{"endpoint", withdrawal.id}});
-        return;
+    const auto now = BootClock::now();
+    for (const auto &record : records) {
+        const IncarnationHistory::Incarnation incarnation {record.id(), record.started_at_ms(),
+                                                           record.has_left()};
+        m_incarnations.learn(incarnation, now);
+        const auto endpoint = m_endpoints.find(incarnation.id);
+        if (endpoint == m_endpoints.end() || endpoint->second->withdrawn
+            || !m_incarnations.hasLeft(incarnation.id))
+            continue;
+        endpoint->second->withdrawn = true;
+        beginDrain(*endpoint->second, "withdrawn before the restart of the node");
     }
-    auto &endpoint = *found->second;
-    if (withdrawal.startedAtMs != 0 && withdrawal.startedAtMs < endpoint.info.startedAtMs) {
+    publish(now);
+}
+
+void OwnerTask::Impl::endWaitForHistory()
+{
+    if (!std::exchange(m_awaitsHistory, false))
+        return;
+    if (const auto discovery = std::exchange(m_heldDiscovery, std::nullopt))
+        handleDiscoveredEndpoint(*discovery);
+    for (const auto &[id, announcement] : std::exchange(m_heldAnnouncements, {}))
+        handleAnnouncement(announcement);
+}
+
+void OwnerTask::Impl::handleWithdrawal(const Withdrawal &withdrawal)
+{
+    const auto now = BootClock::now();
+    if (!m_incarnations.recordDeparture(withdrawal.id, withdrawal.startedAtMs, now)) {
         log::info("withdrawal-outdated", {{"endpoint", withdrawal.id}});
         return;
     }
-    if (std::exchange(endpoint.withdrawn, true))
-        return;
-    beginDrain(endpoint, "withdrawn by the endpoint");
-    publish(BootClock::now());
+    const auto found = m_endpoints.find(withdrawal.id);
+    if (found == m_endpoints.end())
+        log::info("withdrawal-of-unknown-endpoint", {{"endpoint", withdrawal.id}});
+    else if (!std::exchange(found->second->withdrawn, true))
+        beginDrain(*found->second, "withdrawn by the endpoint");
+    publish(now);
 }
 
 } // namespace berylspur
--- a/src/owner/owner_report.cpp
+++ b/src/owner/owner_report.cpp
@@ -59,7 +59,6 @@
 void OwnerTask::Impl::publish(TimePoint now)
 {
     std::vector<schema::EndpointRecord> records;
-    std::string serialized;
     for (const auto &[id, endpoint] : m_endpoints) {
         schema::EndpointRecord record;
         record.set_id(id);
@@ -68,9 +67,23 @@
         const bool leaving = m_stopping || endpoint->isDraining() || !endpoint->lease.isValid(now);
         record.set_state(leaving ? schema::ENDPOINT_DRAINING : toSchema(endpoint->info.readiness));
         fillSuspicion(record, endpoint->detector);
-        serialized += record.SerializeAsString();
+        record.set_started_at_ms(endpoint->info.startedAtMs);
+        record.set_has_left(m_incarnations.hasLeft(id));
         records.push_back(std::move(record));
     }
+    for (const auto &incarnation : m_incarnations.departures()) {
+        if (m_endpoints.contains(incarnation.id))
+            continue;
+        schema::EndpointRecord record;
+        record.set_id(incarnation.id);
+        record.set_state(schema::ENDPOINT_DRAINING);
+        record.set_started_at_ms(incarnation.startedAtMs);
+        record.set_has_left(true);
+        records.push_back(std::move(record));
+    }
+    std::string serialized;
+    for (const auto &record : records)
+        serialized += record.SerializeAsString();
     if (serialized == m_publishedRecords)
         return;
     m_publishedRecords = std::move(serialized);
--- a/src/owner/owner_task.cpp
+++ b/src/owner/owner_task.cpp
@@ -455,6 +455,7 @@
         const auto &endpoint = *item.second;
         return endpoint.requests.empty() && now - endpoint.lastAnnounced > EndpointRetention;
     });
+    m_incarnations.expire(now);
     m_ledger.expire(now);
     publish(now);
 }
@@ -555,6 +556,21 @@
     m_impl->handleWithdrawal(withdrawal);
 }
 
+void OwnerTask::waitForHistory()
+{
+    m_impl->waitForHistory();
+}
+
+void OwnerTask::learnIncarnations(const std::vector<schema::EndpointRecord> &records)
+{
+    m_impl->learnIncarnations(records);
+}
+
+void OwnerTask::endWaitForHistory()
+{
+    m_impl->endWaitForHistory();
+}
+
 void OwnerTask::configure(const std::vector<const schema::ServiceConfig *> &changed)
 {
     m_impl->configure(changed);
--- a/src/owner/owner_task_impl.h
+++ b/src/owner/owner_task_impl.h
@@ -5,6 +5,7 @@
 
 #include "berylspur/core/metrics.h"
 #include "berylspur/core/timer.h"
+#include "berylspur/owner/incarnation_history.h"
 #include "berylspur/owner/owner_task.h"
 #include "berylspur/owner/request_ledger.h"
 #include "berylspur/record/decision_logging.h"
@@ -15,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 
 namespace berylspur {
@@ -40,6 +42,9 @@
     /// Registers the endpoint from its response to the health check, unless one is already known.
     void handleDiscoveredEndpoint(const Announcement &announcement);
     void handleWithdrawal(const Withdrawal &withdrawal);
+    void waitForHistory() { m_awaitsHistory = true; }
+    void learnIncarnations(const std::vector<schema::EndpointRecord> &records);
+    void endWaitForHistory();
     void configure(const std::vector<const schema::ServiceConfig *> &changed);
     void dispatch(const std::shared_ptr<PeerRequest> &peer);
     void ask(const std::shared_ptr<PeerRequest> &peer);
@@ -69,8 +74,8 @@
         std::uint32_t openRequests = 0; // queued or running at this node
     };
 
-    /// True if \a announcement is from an earlier incarnation or was reordered.
-    bool isOutdated(const Announcement &announcement) const;
+    /// Adds the endpoint of \a announcement, which is current, or updates it.
+    OwnedEndpoint &registerEndpoint(const Announcement &announcement, TimePoint now);
     /// Withdraws other endpoints at the same address, which the announced endpoint replaces, and
     /// removes those without open requests. Does nothing if the start time of the announced
     /// endpoint is unknown.
@@ -145,6 +150,10 @@
     PauseDetector m_pauseDetector;
     RequestLedger m_ledger;
     std::map<std::string, std::unique_ptr<OwnedEndpoint>> m_endpoints; // by endpoint id
+    IncarnationHistory m_incarnations;
+    bool m_awaitsHistory = false; // what earlier processes of the node knew is not known yet
+    std::map<std::string, Announcement> m_heldAnnouncements; // until then, by endpoint id
+    std::optional<Announcement> m_heldDiscovery; // the same, from the health check
     std::map<std::string, ServiceState> m_services;
     std::string m_publishedRecords; // serialized, as last sent to peers
     std::map<ErrorCode, std::uint64_t> m_refusalCounts;
--- a/tests/endpoint_calls_test.cpp
+++ b/tests/endpoint_calls_test.cpp
@@ -28,6 +28,7 @@
                                              return true;
                                          },
                                  .onWithdrawal = [this](const Withdrawal &) { ++withdrawn; },
+                                 .saveDepartures = [](const auto &done) { done(); },
                                  .isReady = [this] { return isReady; }})
     {
         BOOST_REQUIRE(announcements.listen(announceAddress).has_value());
--- a/tests/owner_task_test.cpp
+++ b/tests/owner_task_test.cpp
@@ -361,12 +361,25 @@
     {
         std::string text;
         for (const auto &record : published) {
+            if (record.service().empty())
+                continue; // an endpoint that is no longer at this node
             text += record.id()
                     + (record.state() == schema::ENDPOINT_DRAINING ? ":draining " : ":ready ");
         }
         return text;
     }
 
+    /// Endpoints that left and are published as such, as "id@start ".
+    std::string publishedDepartures() const
+    {
+        std::string text;
+        for (const auto &record : published) {
+            if (record.has_left())
+                text += record.id() + "@" + std::to_string(record.started_at_ms()) + " ";
+        }
+        return text;
+    }
+
     OwnerTask integrated;
     std::vector<schema::EndpointRecord> published;
 };
@@ -390,6 +403,7 @@
     BOOST_TEST(publishedEndpoints() == "i-2:ready ");
     BOOST_TEST(integrated.announce(makeAnnouncement("i-1", 1000, 9)));
     BOOST_TEST(publishedEndpoints() == "i-2:ready ");
+    BOOST_TEST(publishedDepartures() == "i-1@1000 ");
 }
 
 // Guards against new requests to an endpoint that withdrew without draining first, and against a
@@ -407,6 +421,32 @@
     BOOST_TEST(publishedEndpoints() == "i-1:ready ");
 }
 
+// Guards against a departure that peers are not told of because the endpoint was not known.
+BOOST_FIXTURE_TEST_CASE(withdrawal_of_an_unknown_endpoint_is_kept, IntegratedFixture)
+{
+    integrated.withdraw({"i-1", 1000});
+    BOOST_TEST(publishedDepartures() == "i-1@1000 ");
+    BOOST_TEST(integrated.announce(makeAnnouncement("i-1", 1000, 6)));
+    BOOST_TEST(publishedEndpoints().empty());
+}
+
+// Guards against requests to an endpoint that left, between the start of the node and the time at
+// which it learns of the departure; and against an endpoint that stays out after that time.
+BOOST_FIXTURE_TEST_CASE(announcements_wait_for_the_history, IntegratedFixture)
+{
+    integrated.waitForHistory();
+    BOOST_TEST(integrated.announce(makeAnnouncement("i-1", 1000, 5)));
+    BOOST_TEST(integrated.announce(makeAnnouncement("i-2", 2000, 5)));
+    BOOST_TEST(publishedEndpoints().empty());
+    schema::EndpointRecord left;
+    left.set_id("i-1");
+    left.set_started_at_ms(1000);
+    left.set_has_left(true);
+    integrated.learnIncarnations({left});
+    integrated.endWaitForHistory();
+    BOOST_TEST(publishedEndpoints() == "i-2:ready ");
+}
+
 // Guards against an endpoint that is registered for a service without a configuration.
 BOOST_FIXTURE_TEST_CASE(announcement_of_an_unknown_service_is_refused, IntegratedFixture)
 {
