Let a late heartbeat of a predecessor not withdraw an endpoint that a health check found

Their node is killed and starts again; its health check finds the successor. Before the successor's next heartbeat one of the crashed endpoint arrives late. From then on the successor gets no request: of two endpoints one served, and a quarter of the requests was refused.

Cause: a health check returns no start time, so the found endpoint had none and was taken to be older than any endpoint with one. removePredecessors() withdrew it, and nothing took that back: its own heartbeats found the entry and kept it.

Ruled out: comparing the start time with the time of day at which the node found the endpoint (the clock of a host steps); taking back the withdrawal with the next heartbeat only (in-flight requests would be refused for up to 1.5 s, and the crashed endpoint be used).

Change, in IncarnationHistory::judge(), where the order of incarnations is decided: - Another endpoint at the address of a found one is not accepted until the found one has announced itself, for 5 s at most. - The start time that peers know of the found endpoint is taken as its earliest possible one. - An endpoint whose entry was withdrawn under an earlier start time is used again with its own first heartbeat.

--- a/include/berylspur/owner/incarnation_history.h
+++ b/include/berylspur/owner/incarnation_history.h
@@ -18,6 +18,7 @@
     Current, ///< of the newest incarnation, in order
     Outdated, ///< of an earlier incarnation, or overtaken by a later announcement
     HasLeft, ///< of an incarnation that said that it leaves
+    Undecided, ///< another endpoint, whose start is not known yet, answers at this address
 };
 
 /// Orders the incarnations of endpoints by their start times. Announcements and withdrawals arrive
@@ -27,6 +28,9 @@
 /// - Of two incarnations with the same id or address the one that started later is current.
 /// - An incarnation that leaves is never current again, also if the announcement that it leaves
 ///   came before all others.
+/// - A health check proves that its endpoint is newer than all others known at that address, but
+///   does not return the start time. Until its own announcement adds it, other endpoints at the
+///   address are not accepted.
 class IncarnationHistory
 {
 public:
@@ -35,6 +39,8 @@
     /// Time after the last announcement of an incarnation for which it takes precedence over
     /// earlier ones.
     static constexpr Duration Retention = std::chrono::seconds(60);
+    /// Time for which the result of a health check takes precedence over announcements.
+    static constexpr Duration HealthCheckPrecedence = std::chrono::seconds(5);
     /// Limit on remembered incarnations. The one that was seen longest ago is dropped.
     static constexpr std::size_t MaxIncarnations = 64;
 
@@ -79,6 +85,8 @@
         std::optional<Address> address; ///< nullopt: known only from elsewhere
         bool hasLeft = false;
         TimePoint lastSeen;
+        /// Set while only a health check proves that the endpoint is at its address.
+        std::optional<TimePoint> foundAt;
     };
 
     /// Entry of \a id, made to describe the incarnation \a startedAtMs.
--- a/src/owner/incarnation_history.cpp
+++ b/src/owner/incarnation_history.cpp
@@ -27,6 +27,8 @@
             continue;
         if (known.startedAtMs > announcement.startedAtMs)
             return AnnouncementVerdict::Outdated;
+        if (known.foundAt && now - *known.foundAt < HealthCheckPrecedence)
+            return AnnouncementVerdict::Undecided;
     }
     return AnnouncementVerdict::Current;
 }
@@ -36,6 +38,7 @@
     auto &known = newestOf(announcement.id, announcement.startedAtMs, now);
     known.sequence = announcement.sequence;
     known.address = announcement.address;
+    known.foundAt.reset();
     // Without start times an endpoint may become ready again after it began to drain.
     if (announcement.readiness == EndpointReadiness::Draining && announcement.startedAtMs != 0)
         known.hasLeft = true;
@@ -49,6 +52,7 @@
     answer.startedAtMs = startedAtMs(answer.id);
     auto &known = newestOf(answer.id, answer.startedAtMs, now);
     known.address = answer.address;
+    known.foundAt = now;
     return answer;
 }
 
--- a/src/owner/owner_announcements.cpp
+++ b/src/owner/owner_announcements.cpp
@@ -14,10 +14,11 @@
 /// Latency checks resume this long after the last announcement of a cold start.
 constexpr Duration ColdGrace = std::chrono::seconds(5);
 
-constexpr EnumTable<AnnouncementVerdict, 3> VerdictNames {{
+constexpr EnumTable<AnnouncementVerdict, 4> VerdictNames {{
         {AnnouncementVerdict::Current, "current"},
         {AnnouncementVerdict::Outdated, "outdated"},
         {AnnouncementVerdict::HasLeft, "has-left"},
+        {AnnouncementVerdict::Undecided, "other-endpoint-found"},
 }};
 
 } // namespace
@@ -49,8 +50,10 @@
     const bool hasOtherStart = entry && entry->info.startedAtMs != announcement.startedAtMs;
     // A health check does not return the start time; the first announcement adds it.
     const bool addsStart = entry && std::exchange(entry->isStartUnconfirmed, false);
-    if (addsStart)
+    if (addsStart && hasOtherStart) {
         entry->info.startedAtMs = announcement.startedAtMs;
+        entry->withdrawn = false; // by an earlier incarnation
+    }
     const bool restarted = hasOtherStart && !addsStart;
     const bool moved =
             entry && entry->info.address != announcement.address && entry->requests.empty();
--- a/tests/incarnation_history_test.cpp
+++ b/tests/incarnation_history_test.cpp
@@ -15,7 +15,7 @@
 namespace berylspur {
 std::ostream &operator<<(std::ostream &out, AnnouncementVerdict verdict)
 {
-    constexpr const char *Names[] = {"current", "outdated", "has left"};
+    constexpr const char *Names[] = {"current", "outdated", "has left", "undecided"};
     return out << Names[static_cast<int>(verdict)];
 }
 } // namespace berylspur
@@ -70,6 +70,13 @@
     };
 }
 
+Step found(const std::string &id)
+{
+    return [=](IncarnationHistory &history, TimePoint now) {
+        history.recordHealthCheck(announcement(id, 0, 0), now);
+    };
+}
+
 struct OrderCase
 {
     const char *name;
@@ -120,6 +127,25 @@
          Current},
         {"learned start", {learns("a", 20, false)}, announcement("a", 10, 9), Outdated},
         {"learned endpoint goes on", {learns("a", 20, false)}, announcement("a", 20, 1), Current},
+        {"found endpoint announces itself", {found("b")}, announcement("b", 20, 1), Current},
+        {"predecessor of a found endpoint", {found("b")}, announcement("a", 10, 9), Undecided},
+        {"predecessor of a found endpoint that announced itself",
+         {found("b"), announces("b", 20, 1)},
+         announcement("a", 10, 9),
+         Outdated},
+        {"predecessor of a found endpoint whose start was learned",
+         {learns("b", 20, false), found("b")},
+         announcement("a", 10, 9),
+         Outdated},
+        {"successor of a found endpoint that is gone",
+         {found("b")},
+         announcement("c", 30, 4),
+         Current,
+         IncarnationHistory::HealthCheckPrecedence + 1s},
+        {"found endpoint restarted under its id before it was found",
+         {learns("b", 20, false), found("b")},
+         announcement("b", 30, 1),
+         Current},
         {"forgotten departure",
          {leaves("a", 10)},
          announcement("a", 10, 9),
--- a/tests/process_restart_test.cpp
+++ b/tests/process_restart_test.cpp
@@ -61,6 +61,16 @@
     return fleet.verdict(0, id) == "in";
 }
 
+/// True if the node that is killed has started again and found the endpoint.
+bool isKnownToItsNode(const Fleet &fleet, const std::string &id)
+{
+    const auto state = call(fleet.node(Killed).admin, "GET", "/state").body;
+    const auto parsed = json::parse(state, nullptr, false);
+    return parsed.is_object()
+           && std::any_of(parsed["owner"]["endpoints"].begin(), parsed["owner"]["endpoints"].end(),
+                          [&](const json &endpoint) { return endpoint["id"] == id; });
+}
+
 void restart(Fleet &fleet, const std::vector<int> &nodes)
 {
     for (const int node : nodes) {
@@ -123,3 +133,24 @@
     BOOST_TEST(heartbeat(fleet, id, port, 1, "ready", StartedAtMs + 1) == 200);
     BOOST_TEST(waitFor([&] { return isInRotation(fleet, id); }));
 }
+
+// Guards against a sound endpoint that gets no requests any more: after a restart of its node, a
+// late heartbeat of its crashed predecessor at the same address withdrew it for good.
+BOOST_DATA_TEST_CASE(a_late_heartbeat_of_a_predecessor_does_not_withdraw_an_endpoint,
+                     data::make({false, true}), restartsAll)
+{
+    auto options = platformFleet();
+    options.backendArguments = {"--announce-ms", "600000"};
+    Fleet fleet(options);
+    BOOST_REQUIRE_EQUAL(fleet.start(), "");
+    const auto id = fleet.endpointId(Killed);
+    restart(fleet, restartsAll ? std::vector<int> {0, 1, 2} : std::vector<int> {Killed});
+    BOOST_REQUIRE(waitFor([&] { return isKnownToItsNode(fleet, id); }));
+    BOOST_REQUIRE(waitFor([&] { return isInRotation(fleet, id); }));
+    BOOST_REQUIRE_EQUAL(heartbeat(fleet, "i-crashed", fleet.endpointPort(Killed), 9, "ready"), 200);
+    BOOST_TEST(!waitFor([&] { return !isInRotation(fleet, id); }, Observation));
+    // Its own heartbeat confirms it.
+    const auto later = StartedAtMs + 1;
+    BOOST_TEST(heartbeat(fleet, id, fleet.endpointPort(Killed), 1'000'000, "ready", later) == 200);
+    BOOST_TEST(!waitFor([&] { return !isInRotation(fleet, id); }, Observation));
+}
