Charge the nested calls of repeated runs to the retry budget of the service that they call

Change: the owner tells the gate of its host whether the parent of a nested call runs as a repeat (ParentRun takes the place of a bool). Such a call takes one repeat from the budget, which may become negative down to MaxDebt, adds nothing to it, and is dispatched as a repeat, so that calls further down are counted too. It is not refused: its parent holds a slot and would fail.

--- a/include/berylspur/gate/gate_task.h
+++ b/include/berylspur/gate/gate_task.h
@@ -9,6 +9,7 @@
 #include "berylspur/manifest.pb.h"
 #include "berylspur/membership/membership_task.h"
 #include "berylspur/owner/nested_call_ended.h"
+#include "berylspur/owner/parent_run.h"
 #include "berylspur/record.pb.h"
 #include "berylspur/settings.pb.h"
 #include "berylspur/transport/peer_pool.h"
@@ -56,8 +57,8 @@
     /// Emitted when a nested call ends: a request that the endpoint on this host sends while it
     /// serves another request.
     sigc::signal<void(const NestedCallEnded &)> nestedCallEnded;
-    /// Emitted to ask whether the request with this id is a nested call.
-    sigc::signal<bool(const std::string &)> isNestedCall;
+    /// Emitted to ask for the run of which the request with this id is a nested call.
+    sigc::signal<ParentRun(const std::string &)> parentRun;
 
 private:
     class Impl;
--- a/include/berylspur/owner/owner_task.h
+++ b/include/berylspur/owner/owner_task.h
@@ -8,6 +8,7 @@
 #include "berylspur/manifest.pb.h"
 #include "berylspur/owner/announcement.h"
 #include "berylspur/owner/nested_call_ended.h"
+#include "berylspur/owner/parent_run.h"
 #include "berylspur/peer.pb.h"
 #include "berylspur/record.pb.h"
 #include "berylspur/settings.pb.h"
@@ -55,9 +56,9 @@
     /// Handles PeerMethod::Ask from a gate: revokes the request if it is unknown or still queued,
     /// and returns its state.
     void ask(const std::shared_ptr<PeerRequest> &request);
-    /// True if the request with the caller's id \a id is a nested call of a request that runs at an
-    /// endpoint of this host.
-    bool isNestedCall(const std::string &id) const;
+    /// Run at an endpoint of this host of which the request with the caller's id \a id is a nested
+    /// call.
+    ParentRun parentRun(const std::string &id) const;
     /// Handles the end of a nested call.
     void onNestedCallEnded(const NestedCallEnded &call);
     /// Sets whether the floor retains the suspect \a endpoint in rotation.
--- a/include/berylspur/routing/retry_budget.h
+++ b/include/berylspur/routing/retry_budget.h
@@ -5,19 +5,26 @@
 
 namespace berylspur {
 
-/// Retries never exceed percent x requests / 100 + burst over any period. Unused budget accumulates
-/// up to the burst only, so that hours without retries do not allow a retry storm. At 0 percent
-/// there are no retries at all.
+/// Repeats, which are retries and the nested calls of repeated runs, exceed percent x requests /
+/// 100 + burst over no period, unless such calls alone do: they are counted, but not refused.
+/// Unused budget accumulates up to the burst only, so that hours without retries do not allow a
+/// retry storm. At 0 percent there are no retries at all.
 class RetryBudget
 {
 public:
     /// Default burst, for budgets that are not divided between gates.
     static constexpr double Burst = 10;
 
+    /// Limit on the repeats to pay back, so that retries resume soon after a burst of such calls.
+    static constexpr std::int32_t MaxDebt = 20;
+
     explicit RetryBudget(std::uint32_t percent = 10);
 
     /// Adds the share of one request to the budget.
     void recordRequest();
+    /// Takes one repeat that cannot be refused. What the budget lacks is paid back before the next
+    /// retry, up to MaxDebt.
+    void recordRepeat();
     /// True if tryRetry() would succeed now.
     bool canRetry() const;
     /// Takes one retry from the budget; returns false if the budget is exhausted.
@@ -28,11 +35,11 @@
     void setBurst(double burst);
 
 private:
-    static constexpr std::uint32_t RetryCost = 100; ///< hundredths per retry
+    static constexpr std::int32_t RetryCost = 100; ///< hundredths per retry
 
-    std::uint32_t m_percent;
-    std::uint32_t m_capacity = static_cast<std::uint32_t>(Burst * RetryCost);
-    std::uint32_t m_balance = m_capacity; ///< hundredths of a retry; at most m_capacity
+    std::int32_t m_percent;
+    std::int32_t m_capacity = static_cast<std::int32_t>(Burst * RetryCost);
+    std::int32_t m_balance = m_capacity; ///< hundredths of a retry; at most m_capacity
 };
 
 } // namespace berylspur
--- a/src/gate/gate_context.h
+++ b/src/gate/gate_context.h
@@ -9,6 +9,7 @@
 #include "berylspur/limits/rate_limiter.h"
 #include "berylspur/membership/member_table.h"
 #include "berylspur/owner/nested_call_ended.h"
+#include "berylspur/owner/parent_run.h"
 #include "berylspur/record.pb.h"
 #include "berylspur/routing/customer_limit.h"
 #include "berylspur/routing/endpoint_picker.h"
@@ -39,6 +40,7 @@
     std::uint64_t aborted = 0;
     std::uint64_t abandoned = 0; // the caller disconnected before the end of the response
     std::uint64_t retries = 0;
+    std::uint64_t callsOfRepeats = 0; // nested calls made by repeated runs
     std::map<ErrorCode, std::uint64_t> failures;
     DurationHistogram latency[2]; // by RequestClass
 };
@@ -71,9 +73,9 @@
     GateCounters counters;
     GateStop stop; // admits all requests unless the node stops
     std::function<void(schema::DecisionRecord)> onDecision;
-    /// True if the request with this id is a nested call, that is, a request that the endpoint
+    /// Run of which the request with this id is a nested call, that is, a request that the endpoint
     /// on this host sends while it serves another request.
-    std::function<bool(const std::string &id)> isNestedCall;
+    std::function<ParentRun(const std::string &id)> parentRun;
     std::function<void(const NestedCallEnded &)> onNestedCallEnd;
 
     /// Drops what is kept for nodes, endpoints and services that no longer exist.
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -78,7 +78,12 @@
     m_headers = forwardedHeaders();
     m_body = m_caller->takeBody();
     auto &budget = m_context.retryBudgets[m_service];
-    budget.recordRequest();
+    if (m_isCallOfRepeat) {
+        budget.recordRepeat();
+        ++m_context.counters.callsOfRepeats;
+    } else {
+        budget.recordRequest();
+    }
     checkRateLimit(false);
 }
 
@@ -119,7 +124,9 @@
     m_customer = m_caller->header(config.customer_header());
     if (names.callerSetsIdAndDeadline)
         m_callerId = m_caller->header(names.requestId);
-    m_isNestedCall = !m_callerId.empty() && m_context.isNestedCall(m_callerId);
+    const auto parentRun = m_callerId.empty() ? ParentRun::None : m_context.parentRun(m_callerId);
+    m_isNestedCall = parentRun != ParentRun::None;
+    m_isCallOfRepeat = parentRun == ParentRun::Repeat;
     const auto key = names.idempotencyKey.empty() ? std::string_view()
                                                   : m_caller->header(names.idempotencyKey);
     if (!m_idempotent && !key.empty())
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -157,6 +157,7 @@
     std::string m_callerId; // request id given by the caller; empty: none
     bool m_isNestedCall =
             false; // sent by the endpoint on this host while it serves another request
+    bool m_isCallOfRepeat = false; // the same, and that request was repeated itself
     // A finished attempt may have run. Does not cover the dispatch in flight (m_dispatching).
     bool m_earlierAttemptMayHaveRun = false;
     bool m_keyClaimed = false;
--- a/src/gate/gate_request_dispatch.cpp
+++ b/src/gate/gate_request_dispatch.cpp
@@ -127,7 +127,7 @@
     dispatch.set_caller_service(m_context.hostService);
     dispatch.set_priority(m_priority);
     dispatch.set_target_latency_ms(m_latencyTargetMs);
-    dispatch.set_repeat(m_failedAttempts > 0);
+    dispatch.set_repeat(m_failedAttempts > 0 || m_isCallOfRepeat);
     dispatch.set_is_call(m_isNestedCall);
     dispatch.set_method(m_caller->method());
     dispatch.set_target(m_caller->target());
--- a/src/gate/gate_task.cpp
+++ b/src/gate/gate_task.cpp
@@ -52,9 +52,7 @@
         m_context.onNestedCallEnd = [&task](const NestedCallEnded &call) {
             task.nestedCallEnded.emit(call);
         };
-        m_context.isNestedCall = [&task](const std::string &id) {
-            return task.isNestedCall.emit(id);
-        };
+        m_context.parentRun = [&task](const std::string &id) { return task.parentRun.emit(id); };
         m_limits.maxBodyBytes = settings.limits().max_body_bytes();
         m_limits.maxHeaderBytes = settings.limits().max_header_bytes();
         m_callers.setLimits(m_limits);
@@ -262,6 +260,7 @@
     text += sample("berylspur_gate_aborted_total", counters.aborted);
     text += sample("berylspur_gate_abandoned_total", counters.abandoned);
     text += sample("berylspur_gate_retries_total", counters.retries);
+    text += sample("berylspur_gate_calls_of_repeats_total", counters.callsOfRepeats);
     text += sample("berylspur_gate_open_requests", m_openRequests.size());
     for (const auto &[code, count] : counters.failures) {
         text += prometheusSample("berylspur_gate_failures_total",
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -181,7 +181,7 @@
     m_gate.decisionMade.connect([this](const schema::DecisionRecord &decision) {
         recordDecision(decision, decision.kind() == schema::DECISION_REFUSE);
     });
-    m_gate.isNestedCall.connect([this](const std::string &id) { return m_owner.isNestedCall(id); });
+    m_gate.parentRun.connect([this](const std::string &id) { return m_owner.parentRun(id); });
     m_gate.nestedCallEnded.connect(
             [this](const NestedCallEnded &call) { m_owner.onNestedCallEnded(call); });
     m_config.changed.connect([this](const std::vector<const schema::ServiceConfig *> &changed) {
--- a/src/owner/owner_task.cpp
+++ b/src/owner/owner_task.cpp
@@ -586,9 +586,12 @@
     m_impl->ask(request);
 }
 
-bool OwnerTask::isNestedCall(const std::string &id) const
+ParentRun OwnerTask::parentRun(const std::string &id) const
 {
-    return m_impl->parentOf(id) != nullptr;
+    const auto *parent = m_impl->parentOf(id);
+    if (!parent)
+        return ParentRun::None;
+    return parent->dispatch.repeat() ? ParentRun::Repeat : ParentRun::First;
 }
 
 void OwnerTask::onNestedCallEnded(const NestedCallEnded &call)
--- a/tests/process_platform_test.cpp
+++ b/tests/process_platform_test.cpp
@@ -390,6 +390,51 @@
     BOOST_TEST(!isNestedCall(host, "parent.4"));
 }
 
+// Guards against nested calls that no retry budget counts: those of a repeated run reach their
+// service in addition to the calls of the first run.
+BOOST_AUTO_TEST_CASE(calls_of_a_repeated_run_count_as_repeats)
+{
+    Fleet fleet(platformFleet());
+    BOOST_REQUIRE_EQUAL(fleet.start(), "");
+    const auto countedAt = [&fleet](int node) {
+        return metric(fleet, node, "berylspur_gate_calls_of_repeats_total");
+    };
+    // Runs a request until its second attempt runs, at the returned node; nothing if it has one.
+    const auto nodeOfRepeat = [&fleet](const std::string &id) -> std::optional<int> {
+        const auto mark = "kind=dispatch request=" + id + " ";
+        for (int i = 0; i < fleet.nodeCount(); ++i) {
+            const auto log = fleet.nodeLog(i);
+            const auto at = log.find(mark);
+            if (at != std::string::npos
+                && log.substr(at, log.find('\n', at) - at).find("sent again") != std::string::npos)
+                return i;
+        }
+        return std::nullopt;
+    };
+    bool wasRepeated = false;
+    for (int i = 0; i < Repeats && !wasRepeated; ++i) {
+        fleet.setFaults(1, {{"error-share", 1.0}});
+        const auto id = "parent-" + std::to_string(i);
+        auto parent = std::async(std::launch::async, [&fleet, id] {
+            return call(fleet.node(0).caller, "GET", "/read/x?work-ms=700", {idHeader(id)});
+        });
+        const auto isRunning = [&] {
+            return nodeOfRepeat(id).has_value()
+                   || parent.wait_for(std::chrono::seconds(0)) == std::future_status::ready;
+        };
+        BOOST_REQUIRE(waitFor(isRunning));
+        const auto host = nodeOfRepeat(id);
+        if (host && *host != 1) {
+            BOOST_TEST(countedAt(*host) == 0);
+            BOOST_TEST(get(fleet, *host, id + ".1").status == 200);
+            BOOST_TEST(countedAt(*host) == 1);
+            wasRepeated = true;
+        }
+        parent.wait();
+    }
+    BOOST_TEST(wasRepeated);
+}
+
 // Guards against reporting "not run" when only the response was lost: the caller would send the
 // request again and it would run twice.
 BOOST_AUTO_TEST_CASE(lost_response_is_never_reported_as_not_run)
--- a/tests/retry_budget_test.cpp
+++ b/tests/retry_budget_test.cpp
@@ -41,6 +41,48 @@
     });
 }
 
+// Guards against retries beside nested calls of repeated runs that together exceed the bound: such
+// calls cannot be refused, so no retry may follow before they are paid back.
+BOOST_AUTO_TEST_CASE(calls_of_repeats_are_within_the_bound)
+{
+    checkProperty(1000, [] {
+        enum Step { Request, Retry, CallOfRepeat };
+        const auto percent = *rc::gen::inRange<std::uint32_t>(1, 101);
+        RetryBudget budget(percent);
+        // Largest value of 100 x repeats - percent x requests over all periods that end now.
+        std::int64_t worst = 0;
+        int calls = 0;
+        const auto steps = *rc::gen::container<std::vector<int>>(300, rc::gen::inRange(0, 3));
+        for (const int step : steps) {
+            if (step == Request) {
+                budget.recordRequest();
+                worst = std::max<std::int64_t>(worst - percent, 0);
+            } else if (step == CallOfRepeat && calls < RetryBudget::MaxDebt) {
+                ++calls;
+                budget.recordRepeat();
+                worst += 100;
+            } else if (step == Retry && budget.tryRetry()) {
+                worst += 100;
+                RC_ASSERT(worst <= 100 * RetryBudget::Burst);
+            }
+        }
+    });
+}
+
+// Guards against a service that is never retried again after many calls of repeated runs.
+BOOST_AUTO_TEST_CASE(debt_is_bounded)
+{
+    RetryBudget budget(100);
+    for (int i = 0; i < 1000; ++i)
+        budget.recordRepeat();
+    for (int i = 0; i < RetryBudget::MaxDebt; ++i) {
+        BOOST_TEST(!budget.tryRetry());
+        budget.recordRequest();
+    }
+    budget.recordRequest();
+    BOOST_TEST(budget.tryRetry());
+}
+
 // Guards against a budget that refuses retries that the manifest allows.
 BOOST_DATA_TEST_CASE(steady_share_is_granted, data::make({1, 10, 50, 100}), percent)
 {
