Withhold the retry burst of a gate that starts for one retry window

Cause: each gate has a part of the fleet's slack as the burst of its token bucket, and a new process begins with a full bucket. Its earlier process may have emptied one in the same window, so a kill of many gates allows the slack nearly twice.

Change: on the platform a gate that starts begins with an empty bucket, earns retries by requests as before, and gets its part of the burst once the retry window has passed, when no window contains uses of both processes. The window is a new setting, filled in from the platform's bounds. On a first start of a whole fleet the burst is withheld too; traffic begins later than the window there or soon after its start.

--- a/include/berylspur/routing/retry_budget.h
+++ b/include/berylspur/routing/retry_budget.h
@@ -1,6 +1,7 @@
 // Limits the retries of a service to a percentage of its requests.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 
 namespace berylspur {
@@ -30,6 +31,11 @@
     /// Takes one retry from the budget; returns false if the budget is exhausted.
     bool tryRetry();
     void setPercent(std::uint32_t percent);
+    /// Empties the budget of a gate that starts: an earlier process may have used the burst within
+    /// the period over which repeats are counted.
+    void withholdBurst() { m_balance = std::min(m_balance, 0); }
+    /// Adds the burst once that period is over.
+    void grantBurst() { m_balance = std::min(m_balance + m_capacity, m_capacity); }
     /// Sets the number of retries that may accumulate. A fleet-wide burst must be divided by the
     /// number of gates.
     void setBurst(double burst);
--- a/src/gate/gate_task.cpp
+++ b/src/gate/gate_task.cpp
@@ -1,6 +1,7 @@
 // Implementation of the gate: accepts requests, applies configuration, reports state and metrics.
 #include "berylspur/gate/gate_task.h"
 
+#include "berylspur/core/duration_text.h"
 #include "berylspur/core/enum_table.h"
 #include "berylspur/http/caller_server.h"
 #include "gate_request.h"
@@ -26,6 +27,13 @@
         {RotationVerdict::OwnerGone, "owner-gone"},
 }};
 
+/// Period over which repeats are counted.
+Duration retryWindow(const schema::NodeSettings &settings)
+{
+    constexpr Duration DefaultWindow = std::chrono::seconds(10);
+    return parseDuration(settings.integration().retry_window()).value_or(DefaultWindow);
+}
+
 } // namespace
 
 class GateTask::Impl
@@ -37,6 +45,8 @@
           m_maxOpenRequests(settings.limits().max_requests_in_flight()),
           m_retrySlack(settings.integration().retry_slack()),
           m_dividesRetryBurst(settings.integration().mode() != schema::INTEGRATION_NONE),
+          m_withholdsRetryBurst(m_dividesRetryBurst),
+          m_retryBurstFrom(BootClock::now() + retryWindow(settings)),
           m_context(base, membership.table(), peers, settings.node().failure_domain(),
                     settings.policy().pick() == schema::PICK_TWO_RANDOM ? PickMode::TwoRandom
                                                                         : PickMode::OwnerLoad,
@@ -92,7 +102,8 @@
 private:
     void accept(std::unique_ptr<CallerRequest> caller);
     void applyCallerLimits(const schema::CallerBounds &bounds);
-    /// Divides the fleet's retry burst by the number of reachable nodes, each of which is a gate.
+    /// Divides the fleet's retry burst by the number of reachable nodes, each of which is a gate,
+    /// and grants it once the retry window of an earlier process is over.
     void divideRetryBurst();
     void release(GateRequest *request);
     void runMaintenance();
@@ -102,6 +113,8 @@
     std::size_t m_maxOpenRequests;
     double m_retrySlack; // retry burst of the whole fleet per service
     bool m_dividesRetryBurst;
+    bool m_withholdsRetryBurst; // an earlier process of the node may have used it
+    TimePoint m_retryBurstFrom;
     GateContext m_context;
     CallerServer m_callers;
     Timer m_maintenanceTimer;
@@ -155,7 +168,10 @@
 {
     for (const auto *config : changed) {
         m_context.routes.update(*config);
-        m_context.retryBudgets[config->service()].setPercent(config->content().retry_percent());
+        const auto [budget, isNew] = m_context.retryBudgets.try_emplace(config->service());
+        budget->second.setPercent(config->content().retry_percent());
+        if (isNew && m_withholdsRetryBurst)
+            budget->second.withholdBurst();
         m_context.serviceViews.invalidate(config->service());
         if (!config->deleted())
             applyCallerLimits(config->caller_bounds());
@@ -185,6 +201,11 @@
     const auto gates = std::max<std::size_t>(m_context.reachableNodes().size(), 1);
     for (auto &[service, budget] : m_context.retryBudgets)
         budget.setBurst(m_retrySlack / static_cast<double>(gates));
+    if (!m_withholdsRetryBurst || BootClock::now() < m_retryBurstFrom)
+        return;
+    m_withholdsRetryBurst = false;
+    for (auto &[service, budget] : m_context.retryBudgets)
+        budget.grantBurst();
 }
 
 void GateTask::Impl::onPeerConnectionFailed(const Address &peer)
--- a/tests/retry_budget_test.cpp
+++ b/tests/retry_budget_test.cpp
@@ -5,6 +5,9 @@
 #include "property_check.h"
 
 #include <boost/test/data/test_case.hpp>
+#include <numeric>
+#include <random>
+#include <vector>
 
 using namespace berylspur;
 using namespace std::chrono_literals;
@@ -69,6 +72,52 @@
     });
 }
 
+// Guards against gates that use their part of the burst again after a restart: many restarts within
+// the period over which repeats are counted must not add up. Gates get unequal shares of requests.
+BOOST_DATA_TEST_CASE(restarted_gates_do_not_use_the_burst_twice, data::xrange(50), seed)
+{
+    constexpr std::size_t Gates = 8;
+    constexpr int Steps = 600;
+    constexpr int Window = 100; // steps
+    constexpr std::uint32_t Percent = 20;
+    constexpr double BurstOfGate = 2;
+    std::mt19937_64 random(static_cast<std::uint64_t>(seed));
+    const auto chance = [&random](double p) { return std::bernoulli_distribution(p)(random); };
+    std::vector<RetryBudget> budgets(Gates, RetryBudget(Percent));
+    std::vector<int> startedAt(Gates, -Window);
+    for (auto &budget : budgets)
+        budget.setBurst(BurstOfGate);
+    std::vector<int> requests(Steps);
+    std::vector<int> retries(Steps);
+    for (int step = 0; step < Steps; ++step) {
+        const bool herd = chance(0.02);
+        for (std::size_t gate = 0; gate < Gates; ++gate) {
+            auto &budget = budgets[gate];
+            if (chance(herd ? 0.9 : 0.005)) {
+                budget = RetryBudget(Percent);
+                budget.setBurst(BurstOfGate);
+                budget.withholdBurst();
+                startedAt[gate] = step;
+            }
+            if (step - startedAt[gate] == Window)
+                budget.grantBurst();
+            if (!chance(gate == 0 ? 0.8 : 0.1))
+                continue;
+            ++requests[step];
+            budget.recordRequest();
+            retries[step] += budget.tryRetry() ? 1 : 0;
+        }
+    }
+    for (int from = 0; from + Window <= Steps; ++from) {
+        const auto sum = [&](const std::vector<int> &counts) {
+            return std::accumulate(counts.begin() + from, counts.begin() + from + Window, 0);
+        };
+        const int allowed = static_cast<int>(Percent) * sum(requests)
+                            + static_cast<int>(100 * Gates * BurstOfGate);
+        BOOST_TEST(100 * sum(retries) <= allowed);
+    }
+}
+
 // Guards against a service that is never retried again after many calls of repeated runs.
 BOOST_AUTO_TEST_CASE(debt_is_bounded)
 {
