List the peers only after the own object was written, and once more after a late write

Cause, from the nodes' logs: both nodes joined with members=1 within 6 ms, each published its object, and neither ever saw the other. A starting node sends the write of its object and the list of all objects at the same time. If the store runs both lists before both writes, each list lacks the other node; nobody else knows them both, and the next list follows after a minute. The rule in the design ("two nodes that start together see each other whoever lists later") holds only if the write ends before the list.

Ruled out: the health check and the announcements (both endpoints were registered in the first two seconds), the retry of a failed publish (both had succeeded).

Change: the list waits for the end of the first write, whatever its result. When the object is written after a failure, by a retry or by a write that took effect late, the node lists once more and pings the members that it doesn't know.

Test: nodes_find_each_other_if_their_first_writes_fail (writes lost, writes late) failed in both rows before.

--- a/src/membership/membership_bootstrap.cpp
+++ b/src/membership/membership_bootstrap.cpp
@@ -62,7 +62,10 @@
     switch (m_phase) {
     case BootstrapPhase::ConfiguredPeers:
         m_phase = BootstrapPhase::Platform;
-        listPeerObjects();
+        // Of two nodes that start together the one that lists later must see the object of the
+        // other.
+        if (m_firstPublishEnded)
+            listPeerObjects();
         break;
     case BootstrapPhase::Platform:
         finishBootstrap();
@@ -207,9 +210,12 @@
 
 void MembershipTask::Impl::onPublished(const Result<ObjectVersion> &result)
 {
+    if (!std::exchange(m_firstPublishEnded, true) && m_phase == BootstrapPhase::Platform)
+        listPeerObjects();
     if (result) {
         log::info("published", {{"object", objectName()}, {"version", result.value().revision}});
         onOwnObjectRead();
+        onOwnObjectWritten();
         return;
     }
     if (result.error().code == ErrorCode::PlatformConflict) {
@@ -218,6 +224,7 @@
         replaceOwnObject();
         return;
     }
+    m_publishFailed = true;
     m_publishRetry = std::clamp(2 * m_publishRetry, PlatformRetryInterval, MaxPublishRetry);
     log::warn("publish-failed",
               {{"reason", describe(result.error())}, {"retry-ms", toMs(m_publishRetry)}});
@@ -238,8 +245,10 @@
             onEarlierEndpoints({stored.endpoints().begin(), stored.endpoints().end()});
             onOwnObjectRead();
         }
-        if (object.value().value == ownPeerObject())
+        if (object.value().value == ownPeerObject()) {
+            onOwnObjectWritten();
             return;
+        }
         m_platform.write(objectName(), ownPeerObject(), object.value().version,
                          [this, alive](const Result<ObjectVersion> &result) {
                              if (!alive.expired())
@@ -248,6 +257,17 @@
     });
 }
 
+void MembershipTask::Impl::onOwnObjectWritten()
+{
+    // Nodes that listed the objects before did not see this one.
+    if (!std::exchange(m_publishFailed, false))
+        return;
+    m_platform.list(std::string(PeersPrefix), [this, alive = std::weak_ptr(m_alive)](auto list) {
+        if (!alive.expired() && list)
+            pingUnknownOrDeadMembers(list.value());
+    });
+}
+
 void MembershipTask::Impl::onStoreRestored()
 {
     m_restoredTimer.start(jitter(RestoredJitter));
--- a/src/membership/membership_task_impl.h
+++ b/src/membership/membership_task_impl.h
@@ -131,6 +131,7 @@
     void publishSelf();
     void onPublished(const Result<ObjectVersion> &result);
     void replaceOwnObject();
+    void onOwnObjectWritten();
     void onStoreRestored();
     void checkPeerObjects();
     void checkOwnObject(const std::vector<PlatformObject> &objects);
@@ -208,6 +209,8 @@
     std::size_t m_nextConfiguredPeer = 0;
     std::size_t m_nextDead = 0;
     Duration m_publishRetry {};
+    bool m_firstPublishEnded = false; ///< with any result
+    bool m_publishFailed = false; ///< since the own object was written last
     std::optional<Save> m_save;
     std::uint64_t m_saveNumber = 0;
     std::string m_savedObject; ///< own object as last saved
--- a/tests/membership_task_test.cpp
+++ b/tests/membership_task_test.cpp
@@ -22,6 +22,34 @@
     BOOST_TEST(fleet.allSee(3));
 }
 
+struct PublishCase
+{
+    const char *name;
+    int dropWrites;
+    int lateWrites;
+};
+
+std::ostream &operator<<(std::ostream &out, const PublishCase &sample)
+{
+    return out << sample.name;
+}
+
+const std::vector<PublishCase> FailedPublishes {{"lost", 2, 0}, {"late", 0, 2}};
+
+// Guards against nodes that start together, list the peers before the objects of the others are
+// written, and stay alone for a minute.
+BOOST_DATA_TEST_CASE(nodes_find_each_other_if_their_first_writes_fail,
+                     boost::unit_test::data::make(FailedPublishes), sample)
+{
+    TaskFleet fleet;
+    fleet.platform->faults().dropWrites = sample.dropWrites;
+    fleet.platform->faults().lateWrites = sample.lateWrites;
+    fleet.platform->faults().lateMs = 200;
+    fleet.add("a", false);
+    fleet.add("a", false);
+    BOOST_TEST(fleet.allSee(2));
+}
+
 // Guards against a platform call rate that grows with the number of nodes, and against a change
 // that reaches only the watchers.
 BOOST_AUTO_TEST_CASE(one_node_per_domain_watches_and_all_get_the_change)
