Withhold the retry burst only where a start may be a restart

Cause: the burst was withheld at each start. At the first start of the whole fleet, which the platform states (bootstrap; the settings then lack find-endpoint), no earlier process can have used it.

Ruled out: load (the budget was empty, as the counter of retries says: 0).

Change: the burst is withheld only with find-endpoint. After: process_platform_test passes in one run (28 s).

--- a/src/gate/gate_task.cpp
+++ b/src/gate/gate_task.cpp
@@ -27,6 +27,13 @@
         {RotationVerdict::OwnerGone, "owner-gone"},
 }};
 
+/// False at the first start of the whole fleet, the only one at which the platform states that no
+/// endpoint has been running before its node.
+bool mayBeRestart(const schema::NodeSettings &settings)
+{
+    return settings.integration().find_endpoint();
+}
+
 /// Period over which repeats are counted.
 Duration retryWindow(const schema::NodeSettings &settings)
 {
@@ -45,7 +52,7 @@
           m_maxOpenRequests(settings.limits().max_requests_in_flight()),
           m_retrySlack(settings.integration().retry_slack()),
           m_dividesRetryBurst(settings.integration().mode() != schema::INTEGRATION_NONE),
-          m_withholdsRetryBurst(m_dividesRetryBurst),
+          m_withholdsRetryBurst(m_dividesRetryBurst && mayBeRestart(settings)),
           m_retryBurstFrom(BootClock::now() + retryWindow(settings)),
           m_context(base, membership.table(), peers, settings.node().failure_domain(),
                     settings.policy().pick() == schema::PICK_TWO_RANDOM ? PickMode::TwoRandom
