State the bound of RetryBudget as it holds

The comment said that repeats exceed the bound over no period unless nested calls of repeated runs alone do. Found on reading the diff.

--- a/include/berylspur/routing/retry_budget.h
+++ b/include/berylspur/routing/retry_budget.h
@@ -6,10 +6,11 @@
 
 namespace berylspur {
 
-/// Repeats, which are retries and the nested calls of repeated runs, exceed percent x requests /
-/// 100 + burst over no period, unless such calls alone do: they are counted, but not refused.
-/// Unused budget accumulates up to the burst only, so that hours without retries do not allow a
-/// retry storm. At 0 percent there are no retries at all.
+/// Limits repeats: retries, and the nested calls of repeated runs. Whenever a retry is granted, the
+/// repeats of any period that ends with it are at most percent x requests / 100 + burst, as long as
+/// no more than MaxDebt such calls wait to be paid back. The calls are counted but not refused, so
+/// those that follow may exceed it. Unused budget accumulates up to the burst only, so that hours
+/// without retries do not allow a retry storm. At 0 percent there are no retries at all.
 class RetryBudget
 {
 public:
