--- a/benchmark/service_model.h
+++ b/benchmark/service_model.h
@@ -3,10 +3,10 @@
 // product's classes on injected time, without network or nodes.
 #pragma once
 
+#include "berylspur/admission/slot_scheduler.h"
 #include "berylspur/core/clock.h"
 #include "berylspur/core/ids.h"
 #include "berylspur/owner/gray_detector.h"
-#include "berylspur/owner/slot_scheduler.h"
 #include "berylspur/routing/endpoint_picker.h"
 #include "berylspur/routing/retry_budget.h"
 #include "berylspur/routing/rotation.h"
--- a/include/berylspur/core/error_code.h
+++ b/include/berylspur/core/error_code.h
@@ -35,6 +35,7 @@
     RequestMethodNotAllowed = 3006,
     RequestTimeout = 3007,
     RequestCodingNotSupported = 3008,
+    RequestUnauthorized = 3009,
 
     NotRunNoEndpoint = 4001,
     NotRunQueueFull = 4002,
@@ -54,6 +55,9 @@
     NotRunGateBusy = 4016,
     NotRunEndpointUnreachable = 4017,
     NotRunEndpointRefused = 4018,
+    NotRunDisplaced = 4019,
+    NotRunMemory = 4020,
+    NotRunCalledService = 4021,
 
     OutcomeUnknown = 5001,
     OutcomeUnknownKeyHome = 5002,
--- a/include/berylspur/core/http_headers.h
+++ b/include/berylspur/core/http_headers.h
@@ -17,6 +17,7 @@
 inline constexpr std::string_view OutcomeHeader = "Berylspur-Outcome";
 inline constexpr std::string_view DeadlineHeader = "Berylspur-Deadline-Ms";
 inline constexpr std::string_view CustomerHeader = "Berylspur-Customer";
+inline constexpr std::string_view CustomerKeyHeader = "Berylspur-Key";
 inline constexpr std::string_view IdempotencyKeyHeader = "Idempotency-Key";
 
 /// Names of the request metadata headers between callers, fleet and endpoints. The defaults are the
@@ -25,7 +26,8 @@
 {
     std::string requestId {RequestIdHeader};
     std::string deadlineMs {DeadlineHeader}; ///< remaining time in whole milliseconds
-    std::string customer {CustomerHeader};
+    std::string customer {CustomerHeader}; ///< to endpoints
+    std::string customerKey {CustomerKeyHeader}; ///< from callers, never forwarded
     std::string idempotencyKey {IdempotencyKeyHeader};
     std::string targetEndpoint; ///< id of the endpoint that the request is addressed to
     std::string callerService; ///< service of the host where the request originated
--- a/include/berylspur/owner/gray_detector.h
+++ b/include/berylspur/owner/gray_detector.h
@@ -2,10 +2,10 @@
 // becomes suspect, so that rotation() may eject it, and how it becomes trusted again.
 #pragma once
 
+#include "berylspur/admission/slot_scheduler.h"
 #include "berylspur/core/clock.h"
 #include "berylspur/core/ids.h"
 #include "berylspur/owner/latency_baseline.h"
-#include "berylspur/owner/slot_scheduler.h"
 
 #include <array>
 #include <cstddef>
--- a/src/owner/slot_scheduler.cpp
+++ b/src/admission/slot_scheduler.cpp
@@ -1,5 +1,5 @@
 // Queueing, slot assignment and service time statistics of one endpoint.
-#include "berylspur/owner/slot_scheduler.h"
+#include "berylspur/admission/slot_scheduler.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -124,9 +124,9 @@
     m_customer = m_caller->header(config.customer_header());
     if (names.callerSetsIdAndDeadline)
         m_callerId = m_caller->header(names.requestId);
-    const auto parentRun = m_callerId.empty() ? ParentRun::None : m_context.parentRun(m_callerId);
-    m_isNestedCall = parentRun != ParentRun::None;
-    m_isCallOfRepeat = parentRun == ParentRun::Repeat;
+    const auto parentRun = m_callerId.empty() ? ParentRun() : m_context.parentRun(m_callerId);
+    m_isNestedCall = parentRun.kind != ParentRun::Kind::None;
+    m_isCallOfRepeat = parentRun.kind == ParentRun::Kind::Repeat;
     const auto key = names.idempotencyKey.empty() ? std::string_view()
                                                   : m_caller->header(names.idempotencyKey);
     if (!m_idempotent && !key.empty())
--- a/src/gate/service_view.h
+++ b/src/gate/service_view.h
@@ -1,9 +1,9 @@
 // The gate's view of each service: its endpoints, their rotation and service times.
 #pragma once
 
+#include "berylspur/admission/slot_scheduler.h"
 #include "berylspur/manifest.pb.h"
 #include "berylspur/membership/member_table.h"
-#include "berylspur/owner/slot_scheduler.h"
 #include "berylspur/routing/capacity_floor.h"
 #include "berylspur/routing/rotation.h"
 #include "berylspur/routing/route_table.h"
--- a/src/owner/owned_endpoint.h
+++ b/src/owner/owned_endpoint.h
@@ -3,10 +3,10 @@
 #pragma once
 
 #include "announce_server.h"
+#include "berylspur/admission/slot_scheduler.h"
 #include "berylspur/owner/endpoint_lease.h"
 #include "berylspur/owner/gray_detector.h"
 #include "berylspur/owner/request_ledger.h"
-#include "berylspur/owner/slot_scheduler.h"
 #include "berylspur/peer.pb.h"
 #include "berylspur/settings.pb.h"
 #include "berylspur/transport/peer.h"
--- a/src/owner/owner_task.cpp
+++ b/src/owner/owner_task.cpp
@@ -590,8 +590,10 @@
 {
     const auto *parent = m_impl->parentOf(id);
     if (!parent)
-        return ParentRun::None;
-    return parent->dispatch.repeat() ? ParentRun::Repeat : ParentRun::First;
+        return {};
+    const auto &dispatch = parent->dispatch;
+    return {dispatch.repeat() ? ParentRun::Kind::Repeat : ParentRun::Kind::First,
+            dispatch.customer(), dispatch.priority()};
 }
 
 void OwnerTask::onNestedCallEnded(const NestedCallEnded &call)
--- a/tests/owner_scheduler_test.cpp
+++ b/tests/admission_scheduler_test.cpp
@@ -1,7 +1,7 @@
 // Tests of SlotScheduler: deadlines, queue limits, slots reserved for short requests, fair queuing
 // between customers.
-#define BOOST_TEST_MODULE owner_scheduler
-#include "berylspur/owner/slot_scheduler.h"
+#define BOOST_TEST_MODULE admission_scheduler
+#include "berylspur/admission/slot_scheduler.h"
 #include "property_check.h"
 
 #include <boost/test/data/test_case.hpp>
