Order the owner's queue by rank and displace less urgent requests

Cause: the owner ignored the priority of requests. A full queue refused urgent requests for the sake of less urgent ones, nested calls went before all other requests whatever the rank of their parent, and the expected wait counted requests that are served later.

Change: RankedQueue orders the queue of each class by rank, round-robin between customers within a rank. Nested calls go first within their rank only. A full queue displaces the newest request of its least urgent rank, which the owner answers at once with NotRunDisplaced and the expected wait as Retry-After; gates treat this like the other refusals for overload. The expected wait counts the requests that are served before the new one, and the share of the slots that more urgent ranks used in the last seconds. RankShares counts arrivals and starts by rank. While several ranks wait, one start in eight goes to another rank than the first, one in four to a nested call that has waited for half of its time, and one in two to a rank that is started less than half as often as all requests. One place in eight is not displaced, so that such a request is there when its turn comes.

Before, QueuedRequest had no priority and all ranks were started alike.

--- a/include/berylspur/admission/slot_scheduler.h
+++ b/include/berylspur/admission/slot_scheduler.h
@@ -1,14 +1,15 @@
 // Admission of requests to the slots of one endpoint: bounded queues with deadlines, slots reserved
-// for short requests and fair queuing between customers. Does no I/O; time is passed in.
+// for short requests, order by rank and fair queuing between customers. Handles more load than the
+// endpoint serves. Does no I/O; time is passed in.
 #pragma once
 
+#include "berylspur/admission/rank_shares.h"
+#include "berylspur/admission/ranked_queue.h"
 #include "berylspur/core/clock.h"
 #include "berylspur/core/ids.h"
 #include "berylspur/core/result.h"
 
 #include <cstdint>
-#include <deque>
-#include <map>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -28,6 +29,7 @@
     TimePoint deadline;
     bool isNestedCall = false; ///< made by a request that runs at another endpoint
     Duration latencyTarget {}; ///< of its route; zero: none
+    std::uint32_t priority = 0; ///< rank; 0: most urgent
 };
 
 /// Queue sizes, and switches for the simpler policies that benchmarks compare against.
@@ -53,6 +55,13 @@
     Duration retryAfter {};
 };
 
+/// A queued request that made room for a more urgent one, and the time after which to retry.
+struct DisplacedRequest
+{
+    RequestId id;
+    Duration retryAfter {};
+};
+
 /// Load of an endpoint.
 struct SlotLoad
 {
@@ -68,17 +77,24 @@
 public:
     SlotScheduler(std::uint32_t slots, SchedulerPolicy policy = {});
 
-    /// Queues \a request, or returns the reason for refusing it. The caller must ensure that ids
-    /// are unique.
+    /// Queues \a request, or returns the reason for refusing it. A request that finds its queue
+    /// full displaces the newest one of the least urgent rank, if that is less urgent than its own.
+    /// Its expected wait counts only requests that are served before it. The caller must ensure
+    /// that ids are unique.
     std::optional<Refusal> enqueue(const QueuedRequest &request, TimePoint now);
 
     /// Starts the next request and returns it, or std::nullopt if no queued request may take a
-    /// slot. Never returns a request whose deadline has passed.
+    /// slot. Never returns a request whose deadline has passed. Ranks are served in order, nested
+    /// calls before new requests of their rank. While several ranks wait, at least one of eight
+    /// starts goes to a rank that is not the first.
     std::optional<QueuedRequest> startNext(TimePoint now);
 
     /// Ids of requests that were dropped because their deadline passed. Reports each id once.
     std::vector<RequestId> takeExpired(TimePoint now);
 
+    /// Requests that were displaced. Reports each one once.
+    std::vector<DisplacedRequest> takeDisplaced();
+
     /// Ends the running request \a id and records its service time, measured from startNext().
     /// Does nothing if \a id is not running.
     void finish(const RequestId &id, TimePoint now);
@@ -103,7 +119,6 @@
 
 private:
     using Index = std::uint32_t;
-    static constexpr Index None = UINT32_MAX;
 
     /// Service time statistics of a route. requestClass is the class after correction.
     struct Route
@@ -121,28 +136,28 @@
         Route *route = nullptr; ///< nullptr if MaxRoutes was reached
         TimePoint enqueued;
         TimePoint started;
-        Index next = None; ///< next request of the same customer
     };
-    /// FIFO queue of one customer's requests. Invariant: not empty.
-    struct CustomerQueue
-    {
-        std::string name;
-        Index head = None;
-        Index tail = None;
-        std::uint32_t size = 0;
-    };
-    /// Queue of one class. Customers are served round-robin: the front is served next and then
-    /// moves to the back.
+    /// Queue of one class.
     struct ClassQueue
     {
-        std::deque<CustomerQueue> customers;
-        std::uint32_t size = 0;
+        RankedQueue waiting;
         std::uint32_t running = 0;
         double meanUs = 0; ///< moving average of service times; 0 if unknown
+        /// Starts in a row for the most urgent waiting rank while others waited.
+        std::uint32_t startsOfFirstRank = 0;
+    };
+    /// What an arriving request is scheduled by.
+    struct Arrival
+    {
+        RequestClass requestClass = RequestClass::Short;
+        bool isNestedCall = false; ///< queued with the nested calls
+        std::uint32_t rank = 0;
     };
 
-    /// Queue that \a request is added to.
-    ClassQueue &enqueueTarget(const QueuedRequest &request, RequestClass requestClass);
+    Arrival arrivalOf(const QueuedRequest &request, const Route *route) const;
+    RankedQueue &waitingWith(const Arrival &arrival);
+    /// Ranks are ignored by the first-come policy.
+    std::uint32_t rankOf(const QueuedRequest &request) const;
     bool hasQueued(RequestClass requestClass) const;
     ClassQueue &queueOf(RequestClass requestClass);
     const ClassQueue &queueOf(RequestClass requestClass) const;
@@ -153,11 +168,16 @@
     /// Slots that \a requestClass can use: for Short, those not occupied by long requests; for
     /// Long, longSlotLimit(), or fewer while nested calls are queued.
     std::uint32_t slotsFor(RequestClass requestClass) const;
-    Duration expectedWait(RequestClass requestClass, bool isNestedCall) const;
-    /// Reason for refusing \a request, which would join \a queue and wait for \a wait.
-    std::optional<Refusal> checkQueue(const QueuedRequest &request, const ClassQueue &queue,
-                                      RequestClass requestClass, bool isNestedCall, Duration wait,
-                                      TimePoint now) const;
+    Duration expectedWait(const Arrival &arrival) const;
+    /// Time after which a request may be sent again that was refused at an expected wait of \a
+    /// wait.
+    Duration retryAfter(RequestClass requestClass, Duration wait) const;
+    /// Reason for refusing \a request, which would join \a queue.
+    std::optional<Refusal> checkQueue(const QueuedRequest &request, const RankedQueue &queue,
+                                      const Arrival &arrival, TimePoint now) const;
+    /// True if \a queue has no room and no request that \a arrival may displace.
+    bool isFullFor(const RankedQueue &queue, const Arrival &arrival) const;
+    void displaceNewest(RankedQueue &queue, const Arrival &arrival);
     bool canStart(RequestClass requestClass, TimePoint now) const;
     /// True if the next free slot is for a long request, provided that one is queued.
     bool isLongDue(TimePoint now) const;
@@ -167,12 +187,21 @@
     bool longWaitLimitReached(TimePoint now) const;
     /// Mean service time of long requests, or a default if unknown.
     Duration longWaitLimit() const;
-    bool exceedsFairShare(const ClassQueue &queue, const std::string &customer,
+    bool exceedsFairShare(const RankedQueue &queue, const QueuedRequest &request,
                           std::uint32_t bound) const;
     std::optional<QueuedRequest> start(RequestClass requestClass, TimePoint now);
-    Index popFront(ClassQueue &queue);
+    /// Rank of the next start: the most urgent that waits, or another whose turn it is.
+    std::uint32_t nextRank(RequestClass requestClass, TimePoint now);
+    /// Calls \a visit(rank) for the ranks with requests that wait for \a requestClass.
+    template <typename Visit>
+    void forEachWaitingRank(RequestClass requestClass, const Visit &visit) const;
+    /// Least served of the waiting ranks after \a first, if there is one.
+    std::optional<std::uint32_t> leastServedAfter(RequestClass requestClass,
+                                                  std::uint32_t first) const;
+    /// Rank after \a first of a nested call that has waited for half of its time, if there is one.
+    std::optional<std::uint32_t> lateCallAfter(std::uint32_t first, TimePoint now) const;
     template <typename Remove>
-    void removeIf(ClassQueue &queue, const Remove &remove);
+    void removeIf(RankedQueue &queue, const Remove &remove);
     void dropExpired(TimePoint now);
     void updateRouteClass(Route &route, double serviceUs);
     double meanShortServiceUs(const Route &excluded) const;
@@ -181,7 +210,7 @@
 
     std::uint32_t m_slots;
     SchedulerPolicy m_policy;
-    ClassQueue m_nestedCalls; ///< queued nested calls; they run as short requests
+    RankedQueue m_nestedCalls; ///< queued nested calls; they run as short requests
     ClassQueue m_short;
     ClassQueue m_long;
     std::vector<Node> m_nodes;
@@ -190,6 +219,8 @@
     RequestClass m_lastStarted = RequestClass::Short;
     std::optional<TimePoint> m_lastShortStart; ///< start of the last short request
     std::vector<RequestId> m_expired; ///< dropped and not yet reported
+    std::vector<DisplacedRequest> m_displaced; ///< not yet reported
+    RankShares m_shares;
     TimePoint m_earliestDeadline = TimePoint::max(); ///< lower bound of all queued deadlines
     std::unordered_map<std::string, Route> m_routes; ///< bounded by MaxRoutes
 };
--- a/include/berylspur/core/error_code.h
+++ b/include/berylspur/core/error_code.h
@@ -105,4 +105,11 @@
     return number >= 3000 && number < 5000;
 }
 
+/// Returns true if \a code is the refusal of a request by the queue of an endpoint.
+constexpr bool isOverloadRefusal(ErrorCode code)
+{
+    return code == ErrorCode::NotRunQueueFull || code == ErrorCode::NotRunDeadline
+           || code == ErrorCode::NotRunDisplaced;
+}
+
 } // namespace berylspur
--- a/src/admission/slot_scheduler.cpp
+++ b/src/admission/slot_scheduler.cpp
@@ -38,6 +38,19 @@
 /// every request late, while the same number of requests is served.
 constexpr int MaxWaitDivisor = 2;
 
+/// While several ranks wait, one of this many starts goes to a rank that is not the first, so that
+/// no rank starves.
+constexpr std::uint32_t FirstRankStarts = 8;
+
+/// The same for a rank that is started less than half as often as all requests. The share of one in
+/// eight would not do for it where more than two ranks are overloaded.
+constexpr std::uint32_t StartsBeforeRankBehind = 2;
+
+/// The same for a nested call that has waited for half of its time. Its parent holds a slot and
+/// fails with it; but calls of a less urgent rank must not keep out more urgent requests, so most
+/// starts stay with those.
+constexpr std::uint32_t StartsBeforeLateCall = 4;
+
 /// Retry-after value while no service time is known, and the minimum value.
 constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(100);
 constexpr Duration MinRetryAfter = std::chrono::milliseconds(10);
@@ -66,65 +79,75 @@
 {
     dropExpired(now);
     Route *route = routeOf(request);
-    const RequestClass requestClass = currentClass(request, route);
-    const bool isNestedCall = request.isNestedCall && requestClass == RequestClass::Short;
-    ClassQueue &queue = enqueueTarget(request, requestClass);
-    const Duration wait = expectedWait(requestClass, isNestedCall);
+    const Arrival arrival = arrivalOf(request, route);
+    RankedQueue &queue = waitingWith(arrival);
     if (request.deadline <= now)
         return Refusal {ErrorCode::NotRunDeadline, MinRetryAfter};
+    m_shares.onArrival(arrival.rank, now);
     if (!m_policy.unlimitedQueue) {
-        const auto refusal = checkQueue(request, queue, requestClass, isNestedCall, wait, now);
-        if (refusal)
+        if (const auto refusal = checkQueue(request, queue, arrival, now))
             return refusal;
+        if (queue.size() >= queueBound(arrival.requestClass, arrival.isNestedCall))
+            displaceNewest(queue, arrival);
     }
 
     const Index index = allocate();
     Node &node = m_nodes[index];
     node.request = request;
-    node.requestClass = requestClass;
+    node.requestClass = arrival.requestClass;
     node.route = route;
     node.enqueued = now;
-    node.next = None;
     // The first-come policy ignores customers: all requests of a queue share one entry.
-    const std::string_view name =
-            m_policy.firstComeFirstServed ? std::string_view() : request.customer;
-    auto customer = std::find_if(queue.customers.begin(), queue.customers.end(),
-                                 [&](const CustomerQueue &entry) { return entry.name == name; });
-    if (customer == queue.customers.end()) {
-        queue.customers.push_back({std::string(name), index, index, 1});
-    } else {
-        m_nodes[customer->tail].next = index;
-        customer->tail = index;
-        ++customer->size;
-    }
-    ++queue.size;
+    queue.push(index, arrival.rank,
+               m_policy.firstComeFirstServed ? std::string_view() : request.customer);
     m_earliestDeadline = std::min(m_earliestDeadline, request.deadline);
     return std::nullopt;
 }
 
 std::optional<Refusal> SlotScheduler::checkQueue(const QueuedRequest &request,
-                                                 const ClassQueue &queue, RequestClass requestClass,
-                                                 bool isNestedCall, Duration wait,
+                                                 const RankedQueue &queue, const Arrival &arrival,
                                                  TimePoint now) const
 {
-    const std::uint32_t bound = queueBound(requestClass, isNestedCall);
-    const Duration retryAfter =
-            queueOf(requestClass).meanUs == 0 ? DefaultRetryAfter : std::max(wait, MinRetryAfter);
-    if (queue.size >= bound || exceedsFairShare(queue, request.customer, bound))
-        return Refusal {ErrorCode::NotRunQueueFull, retryAfter};
+    const std::uint32_t bound = queueBound(arrival.requestClass, arrival.isNestedCall);
+    const Duration wait = expectedWait(arrival);
+    const Duration retry = retryAfter(arrival.requestClass, wait);
+    if (isFullFor(queue, arrival) || exceedsFairShare(queue, request, bound))
+        return Refusal {ErrorCode::NotRunQueueFull, retry};
     // A request that can start immediately is never refused because of the expected wait: the
     // average may still include a stall that has ended.
-    if (queue.size == 0 && canStart(requestClass, now))
+    if (queue.sizeUpTo(arrival.rank) == 0 && canStart(arrival.requestClass, now))
         return std::nullopt;
     if (now + wait > request.deadline)
-        return Refusal {ErrorCode::NotRunDeadline, retryAfter};
+        return Refusal {ErrorCode::NotRunDeadline, retry};
     const Duration waitLimit = request.latencyTarget / MaxWaitDivisor;
     // The refusal of a nested call wastes the run of its parent.
-    if (!isNestedCall && request.latencyTarget > Duration::zero() && wait > waitLimit)
+    if (!arrival.isNestedCall && request.latencyTarget > Duration::zero() && wait > waitLimit)
         return Refusal {ErrorCode::NotRunQueueFull, std::max(wait - waitLimit, MinRetryAfter)};
     return std::nullopt;
 }
 
+bool SlotScheduler::isFullFor(const RankedQueue &queue, const Arrival &arrival) const
+{
+    const std::uint32_t bound = queueBound(arrival.requestClass, arrival.isNestedCall);
+    if (queue.size() < bound)
+        return false;
+    // Requests are left for the starts that go to less urgent ranks. Otherwise none would be
+    // waiting when their turn comes.
+    const std::uint32_t lessUrgent = queue.size() - queue.sizeUpTo(arrival.rank);
+    return lessUrgent <= bound / FirstRankStarts;
+}
+
+void SlotScheduler::displaceNewest(RankedQueue &queue, const Arrival &arrival)
+{
+    const auto last = queue.lastRank();
+    if (!last || *last <= arrival.rank)
+        return;
+    const Index index = queue.popNewest(*last);
+    const Duration wait = expectedWait({arrival.requestClass, arrival.isNestedCall, *last});
+    m_displaced.push_back({m_nodes[index].request.id, retryAfter(arrival.requestClass, wait)});
+    release(index);
+}
+
 std::optional<QueuedRequest> SlotScheduler::startNext(TimePoint now)
 {
     dropExpired(now);
@@ -143,6 +166,11 @@
     return std::exchange(m_expired, {});
 }
 
+std::vector<DisplacedRequest> SlotScheduler::takeDisplaced()
+{
+    return std::exchange(m_displaced, {});
+}
+
 void SlotScheduler::finish(const RequestId &id, TimePoint now)
 {
     const auto found = std::find_if(m_running.begin(), m_running.end(),
@@ -165,7 +193,7 @@
 bool SlotScheduler::revoke(const RequestId &id)
 {
     bool removed = false;
-    for (ClassQueue *queue : {&m_nestedCalls, &m_short, &m_long}) {
+    for (RankedQueue *queue : {&m_nestedCalls, &m_short.waiting, &m_long.waiting}) {
         removeIf(*queue, [&](const QueuedRequest &request) {
             const bool matches = request.id == id;
             removed = removed || matches;
@@ -180,9 +208,9 @@
 std::vector<QueuedRequest> SlotScheduler::takeQueued()
 {
     std::vector<QueuedRequest> taken;
-    for (ClassQueue *queue : {&m_nestedCalls, &m_short, &m_long}) {
-        while (queue->size > 0) {
-            const Index index = popFront(*queue);
+    for (RankedQueue *queue : {&m_nestedCalls, &m_short.waiting, &m_long.waiting}) {
+        while (const auto rank = queue->firstRank()) {
+            const Index index = queue->popFront(*rank);
             taken.push_back(m_nodes[index].request);
             release(index);
         }
@@ -201,7 +229,7 @@
     SlotLoad load;
     load.slots = m_slots;
     load.freeSlots = m_slots - std::min(m_slots, running());
-    load.queued = m_nestedCalls.size + m_short.size + m_long.size;
+    load.queued = m_nestedCalls.size() + m_short.waiting.size() + m_long.waiting.size();
     load.meanServiceTime = fromUs(m_short.meanUs);
     return load;
 }
@@ -223,17 +251,28 @@
     return m_slots > reserve ? m_slots - reserve : std::min<std::uint32_t>(m_slots, 1);
 }
 
-SlotScheduler::ClassQueue &SlotScheduler::enqueueTarget(const QueuedRequest &request,
-                                                        RequestClass requestClass)
+SlotScheduler::Arrival SlotScheduler::arrivalOf(const QueuedRequest &request,
+                                                const Route *route) const
+{
+    const RequestClass requestClass = currentClass(request, route);
+    return {requestClass, request.isNestedCall && requestClass == RequestClass::Short,
+            rankOf(request)};
+}
+
+RankedQueue &SlotScheduler::waitingWith(const Arrival &arrival)
+{
+    return arrival.isNestedCall ? m_nestedCalls : queueOf(arrival.requestClass).waiting;
+}
+
+std::uint32_t SlotScheduler::rankOf(const QueuedRequest &request) const
 {
-    return request.isNestedCall && requestClass == RequestClass::Short ? m_nestedCalls
-                                                                       : queueOf(requestClass);
+    return m_policy.firstComeFirstServed ? 0 : request.priority;
 }
 
 bool SlotScheduler::hasQueued(RequestClass requestClass) const
 {
-    return queueOf(requestClass).size > 0
-           || (requestClass == RequestClass::Short && m_nestedCalls.size > 0);
+    return queueOf(requestClass).waiting.size() > 0
+           || (requestClass == RequestClass::Short && m_nestedCalls.size() > 0);
 }
 
 SlotScheduler::ClassQueue &SlotScheduler::queueOf(RequestClass requestClass)
@@ -292,18 +331,30 @@
     if (m_policy.firstComeFirstServed)
         return m_slots;
     if (requestClass == RequestClass::Long)
-        return m_nestedCalls.size > 0 ? longSlotLimitWhileNestedCallsWait() : longSlotLimit();
+        return m_nestedCalls.size() > 0 ? longSlotLimitWhileNestedCallsWait() : longSlotLimit();
     return m_slots - std::min(m_slots, m_long.running);
 }
 
-Duration SlotScheduler::expectedWait(RequestClass requestClass, bool isNestedCall) const
+Duration SlotScheduler::expectedWait(const Arrival &arrival) const
 {
+    const auto [requestClass, isNestedCall, rank] = arrival;
     const ClassQueue &queue = queueOf(requestClass);
-    const std::uint32_t slots = std::max<std::uint32_t>(1, slotsFor(requestClass));
-    std::uint32_t ahead = requestClass == RequestClass::Short ? m_nestedCalls.size : 0;
+    const double slots = std::max<std::uint32_t>(1, slotsFor(requestClass));
+    std::uint32_t ahead = requestClass == RequestClass::Short ? m_nestedCalls.sizeUpTo(rank) : 0;
     if (!isNestedCall)
-        ahead += queue.size;
-    return fromUs(ahead * queue.meanUs / slots);
+        ahead += queue.waiting.sizeUpTo(rank);
+    else if (rank > 0)
+        ahead += queue.waiting.sizeUpTo(rank - 1);
+    // More urgent requests that arrive during the wait go first. The share of the slots that they
+    // use is the one that they used lately.
+    const double taken = m_shares.startRateBefore(rank) * queue.meanUs / 1e6 / slots;
+    const double left = 1 - std::min(taken, 1 - 1.0 / FirstRankStarts);
+    return fromUs(ahead * queue.meanUs / slots / left);
+}
+
+Duration SlotScheduler::retryAfter(RequestClass requestClass, Duration wait) const
+{
+    return queueOf(requestClass).meanUs == 0 ? DefaultRetryAfter : std::max(wait, MinRetryAfter);
 }
 
 bool SlotScheduler::canStart(RequestClass requestClass, TimePoint now) const
@@ -315,12 +366,12 @@
         return true;
     const bool isLastFree = busy + 1 == m_slots;
     if (requestClass == RequestClass::Short)
-        return !isLastFree || m_long.size == 0 || !isLongDue(now);
+        return !isLastFree || m_long.waiting.size() == 0 || !isLongDue(now);
     if (m_long.running >= longSlotLimit())
         return false;
     // While nested calls are queued, long requests are limited to a few slots, so that they
     // progress and the other slots serve nested calls.
-    if (m_nestedCalls.size > 0)
+    if (m_nestedCalls.size() > 0)
         return m_long.running < longSlotLimitWhileNestedCallsWait();
     // The last free slot is kept for the next short request, unless a long request is due.
     if (isLastFree)
@@ -342,9 +393,9 @@
     // One long request may always run.
     if (m_long.running == 0)
         return true;
-    if (m_long.size == 0 || m_long.running >= m_slots / 2)
+    if (m_long.waiting.size() == 0 || m_long.running >= m_slots / 2)
         return false;
-    if (m_nestedCalls.size > 0)
+    if (m_nestedCalls.size() > 0)
         return m_long.running < longSlotLimitWhileNestedCallsWait();
     // Long requests that have waited get up to half of the slots, which is their fair share when
     // both classes are overloaded.
@@ -358,10 +409,10 @@
 
 bool SlotScheduler::longWaitLimitReached(TimePoint now) const
 {
-    if (m_long.size == 0)
+    if (m_long.waiting.size() == 0)
         return false;
-    const Index head = m_long.customers.front().head;
-    return now - m_nodes[head].enqueued >= longWaitLimit();
+    const Index next = m_long.waiting.front(*m_long.waiting.firstRank());
+    return now - m_nodes[next].enqueued >= longWaitLimit();
 }
 
 Duration SlotScheduler::longWaitLimit() const
@@ -369,26 +420,29 @@
     return m_long.meanUs == 0 ? DefaultLongWaitLimit : fromUs(m_long.meanUs);
 }
 
-bool SlotScheduler::exceedsFairShare(const ClassQueue &queue, const std::string &customer,
+bool SlotScheduler::exceedsFairShare(const RankedQueue &queue, const QueuedRequest &request,
                                      std::uint32_t bound) const
 {
+    const std::uint32_t rank = rankOf(request);
+    // Less urgent requests don't count, since they can be displaced.
+    const std::uint32_t size = queue.sizeUpTo(rank);
     if (m_policy.firstComeFirstServed || bound < FairShareReserveDivisor
-        || queue.size < bound - bound / FairShareReserveDivisor)
-        return false;
-    const auto found =
-            std::find_if(queue.customers.begin(), queue.customers.end(),
-                         [&](const CustomerQueue &entry) { return entry.name == customer; });
-    if (found == queue.customers.end())
+        || size < bound - bound / FairShareReserveDivisor)
         return false;
+    const std::uint32_t own = queue.sizeOf(rank, request.customer);
+    const std::uint32_t room = bound - std::min(bound, size - queue.sizeOf(rank));
     // The additional share is left for the next new customer.
-    return found->size * (queue.customers.size() + 1) >= bound;
+    return own > 0 && own * (queue.customers(rank) + 1) >= room;
 }
 
 std::optional<QueuedRequest> SlotScheduler::start(RequestClass requestClass, TimePoint now)
 {
-    const bool isNestedCall = requestClass == RequestClass::Short && m_nestedCalls.size > 0;
-    const Index index = popFront(isNestedCall ? m_nestedCalls : queueOf(requestClass));
-    ++queueOf(requestClass).running;
+    const std::uint32_t rank = nextRank(requestClass, now);
+    ClassQueue &queue = queueOf(requestClass);
+    const bool isNestedCall = requestClass == RequestClass::Short && m_nestedCalls.sizeOf(rank) > 0;
+    const Index index = (isNestedCall ? m_nestedCalls : queue.waiting).popFront(rank);
+    ++queue.running;
+    m_shares.onStart(rank, now);
     m_lastStarted = requestClass;
     if (requestClass == RequestClass::Short)
         m_lastShortStart = now;
@@ -397,41 +451,70 @@
     return m_nodes[index].request;
 }
 
-SlotScheduler::Index SlotScheduler::popFront(ClassQueue &queue)
+std::uint32_t SlotScheduler::nextRank(RequestClass requestClass, TimePoint now)
 {
-    CustomerQueue customer = std::move(queue.customers.front());
-    queue.customers.pop_front();
-    const Index index = customer.head;
-    customer.head = m_nodes[index].next;
-    --customer.size;
-    --queue.size;
-    if (customer.size > 0)
-        queue.customers.push_back(std::move(customer));
-    return index;
+    std::uint32_t first = UINT32_MAX;
+    forEachWaitingRank(requestClass, [&](std::uint32_t rank) { first = std::min(first, rank); });
+    const auto other = leastServedAfter(requestClass, first);
+    if (!other)
+        return first;
+    std::uint32_t &passed = queueOf(requestClass).startsOfFirstRank;
+    ++passed;
+    if (passed >= FirstRankStarts
+        || (passed >= StartsBeforeRankBehind && m_shares.isBehind(*other))) {
+        passed = 0;
+        return *other;
+    }
+    const auto late =
+            requestClass == RequestClass::Short ? lateCallAfter(first, now) : std::nullopt;
+    if (late && passed >= StartsBeforeLateCall) {
+        passed = 0;
+        return *late;
+    }
+    return first;
+}
+
+template <typename Visit>
+void SlotScheduler::forEachWaitingRank(RequestClass requestClass, const Visit &visit) const
+{
+    if (requestClass == RequestClass::Short)
+        m_nestedCalls.forEachRank(visit);
+    queueOf(requestClass).waiting.forEachRank(visit);
+}
+
+std::optional<std::uint32_t> SlotScheduler::leastServedAfter(RequestClass requestClass,
+                                                             std::uint32_t first) const
+{
+    std::optional<std::uint32_t> found;
+    forEachWaitingRank(requestClass, [&](std::uint32_t rank) {
+        if (rank <= first)
+            return;
+        if (!found || m_shares.startedShare(rank) < m_shares.startedShare(*found))
+            found = rank;
+    });
+    return found;
+}
+
+std::optional<std::uint32_t> SlotScheduler::lateCallAfter(std::uint32_t first, TimePoint now) const
+{
+    std::optional<std::uint32_t> found;
+    m_nestedCalls.forEachRank([&](std::uint32_t rank) {
+        const Node &node = m_nodes[m_nestedCalls.front(rank)];
+        if (!found && rank > first && now - node.enqueued >= node.request.deadline - now)
+            found = rank;
+    });
+    return found;
 }
 
 template <typename Remove>
-void SlotScheduler::removeIf(ClassQueue &queue, const Remove &remove)
-{
-    for (CustomerQueue &customer : queue.customers) {
-        Index previous = None;
-        for (Index index = customer.head; index != None;) {
-            const Index following = m_nodes[index].next;
-            if (remove(m_nodes[index].request)) {
-                (previous == None ? customer.head : m_nodes[previous].next) = following;
-                if (following == None)
-                    customer.tail = previous;
-                --customer.size;
-                --queue.size;
-                release(index);
-            } else {
-                previous = index;
-            }
-            index = following;
-        }
-    }
-    std::erase_if(queue.customers,
-                  [](const CustomerQueue &customer) { return customer.size == 0; });
+void SlotScheduler::removeIf(RankedQueue &queue, const Remove &remove)
+{
+    queue.removeIf([&](Index index) {
+        const bool removed = remove(m_nodes[index].request);
+        if (removed)
+            release(index);
+        return removed;
+    });
 }
 
 void SlotScheduler::dropExpired(TimePoint now)
@@ -439,7 +522,7 @@
     if (now < m_earliestDeadline)
         return;
     m_earliestDeadline = TimePoint::max();
-    for (ClassQueue *queue : {&m_nestedCalls, &m_short, &m_long}) {
+    for (RankedQueue *queue : {&m_nestedCalls, &m_short.waiting, &m_long.waiting}) {
         removeIf(*queue, [&](const QueuedRequest &request) {
             if (request.deadline <= now) {
                 m_expired.push_back(request.id);
--- a/src/gate/gate_request_dispatch.cpp
+++ b/src/gate/gate_request_dispatch.cpp
@@ -9,15 +9,6 @@
 
 namespace berylspur {
 
-namespace {
-
-bool isOverloadRefusal(ErrorCode code)
-{
-    return code == ErrorCode::NotRunQueueFull || code == ErrorCode::NotRunDeadline;
-}
-
-} // namespace
-
 void GateRequest::startAttempt()
 {
     ++m_placements;
--- a/src/owner/owner_task.cpp
+++ b/src/owner/owner_task.cpp
@@ -205,6 +205,7 @@
     queued.deadline = request.deadline;
     queued.isNestedCall = request.dispatch.is_call();
     queued.latencyTarget = std::chrono::milliseconds(request.dispatch.target_latency_ms());
+    queued.priority = request.dispatch.priority();
     if (const auto refusal = endpoint.scheduler.enqueue(queued, now)) {
         refuse(*request.peer, request.dispatch, refusal->code, refusal->retryAfter, &endpoint);
         return;
@@ -218,6 +219,7 @@
 
 void OwnerTask::Impl::startQueuedRequests(OwnedEndpoint &endpoint, TimePoint now)
 {
+    answerDisplaced(endpoint, now);
     while (const auto next = endpoint.scheduler.startNext(now)) {
         const auto found = endpoint.requests.find(next->id);
         if (found == endpoint.requests.end() || !m_ledger.dispatch(next->id, now)) {
@@ -351,7 +353,7 @@
     peer.reply(reply.SerializeAsString());
     peer.finish();
 
-    const bool shed = code == ErrorCode::NotRunQueueFull || code == ErrorCode::NotRunDeadline;
+    const bool shed = isOverloadRefusal(code);
     auto record = decisionOn(dispatch, shed ? schema::DECISION_SHED : schema::DECISION_REFUSE,
                              std::string(errorName(code)));
     record.set_code(static_cast<std::uint32_t>(code));
@@ -471,18 +473,30 @@
 
 void OwnerTask::Impl::dropExpired(OwnedEndpoint &endpoint, TimePoint now)
 {
-    for (const auto &id : endpoint.scheduler.takeExpired(now)) {
-        const auto found = endpoint.requests.find(id);
-        if (found == endpoint.requests.end())
-            continue;
-        m_ledger.revoke(id, now);
-        auto &request = found->second;
-        if (!request.isGateDisconnected)
-            refuse(*request.peer, request.dispatch, ErrorCode::NotRunDeadline, {}, &endpoint);
-        removeRequest(endpoint, id, now);
+    for (const auto &id : endpoint.scheduler.takeExpired(now))
+        dropQueued(endpoint, id, ErrorCode::NotRunDeadline, {}, now);
+}
+
+void OwnerTask::Impl::answerDisplaced(OwnedEndpoint &endpoint, TimePoint now)
+{
+    for (const auto &displaced : endpoint.scheduler.takeDisplaced()) {
+        dropQueued(endpoint, displaced.id, ErrorCode::NotRunDisplaced, displaced.retryAfter, now);
     }
 }
 
+void OwnerTask::Impl::dropQueued(OwnedEndpoint &endpoint, const RequestId &id, ErrorCode code,
+                                 Duration retryAfter, TimePoint now)
+{
+    const auto found = endpoint.requests.find(id);
+    if (found == endpoint.requests.end())
+        return;
+    m_ledger.revoke(id, now);
+    auto &request = found->second;
+    if (!request.isGateDisconnected)
+        refuse(*request.peer, request.dispatch, code, retryAfter, &endpoint);
+    removeRequest(endpoint, id, now);
+}
+
 void OwnerTask::Impl::cancelPastDeadline(OwnedEndpoint &endpoint, TimePoint now)
 {
     std::vector<RequestId> overdue;
--- a/src/owner/owner_task_impl.h
+++ b/src/owner/owner_task_impl.h
@@ -124,6 +124,11 @@
     void checkForPause(TimePoint now);
     void tickEndpoint(OwnedEndpoint &endpoint, TimePoint now);
     void dropExpired(OwnedEndpoint &endpoint, TimePoint now);
+    /// Answers the queued requests that more urgent ones displaced.
+    void answerDisplaced(OwnedEndpoint &endpoint, TimePoint now);
+    /// Refuses a request that the scheduler has removed from its queue.
+    void dropQueued(OwnedEndpoint &endpoint, const RequestId &id, ErrorCode code,
+                    Duration retryAfter, TimePoint now);
     void cancelPastDeadline(OwnedEndpoint &endpoint, TimePoint now);
     std::string healthPath(const std::string &service) const;
     void probe(OwnedEndpoint &endpoint, TimePoint now);
--- a/tests/owner_task_test.cpp
+++ b/tests/owner_task_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/test/unit_test.hpp>
 #include <event2/buffer.h>
 #include <event2/http.h>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <optional>
 
@@ -265,6 +266,42 @@
     BOOST_TEST(owner.openRequests() == 0U);
 }
 
+// Guards against a displaced request that its gate is not told of, or that runs later.
+BOOST_FIXTURE_TEST_CASE(a_displaced_request_is_answered_at_once, Fixture)
+{
+    announce("ready");
+    endpoint.neverResponds = true;
+    std::map<std::string, schema::DispatchReply> replies; // by customer
+    const auto start = [&](const std::string &customer, std::uint32_t priority) {
+        auto dispatch = makeDispatch(RequestId::generate(random));
+        dispatch.set_customer(customer);
+        dispatch.set_priority(priority);
+        ExchangeHandler handler;
+        handler.reply = [&replies, customer](const std::string &text) {
+            replies[customer].ParseFromString(text);
+        };
+        channel->start(
+                PeerMethod::Dispatch,
+                [dispatch](std::uint64_t tick) mutable {
+                    dispatch.set_last_tick(tick);
+                    return dispatch.SerializeAsString();
+                },
+                "", std::move(handler));
+        return *RequestId::fromBytes(dispatch.request_id());
+    };
+    RequestId last;
+    for (const auto *customer : {"running-1", "running-2", "a", "b", "c", "d"})
+        last = start(customer, 2);
+    BOOST_REQUIRE(loop.runUntil([&] { return owner.openRequests() == 6; }));
+    start("urgent", 0);
+    BOOST_REQUIRE(loop.runUntil([&] { return !replies.empty(); }));
+    BOOST_TEST(replies.size() == 1U);
+    BOOST_TEST((codeOf(replies["d"]) == ErrorCode::NotRunDisplaced));
+    BOOST_TEST(replies["d"].retry_after_ms() > 0U);
+    BOOST_TEST((codeOf(send(makeDispatch(last))) == ErrorCode::NotRunRevoked));
+    BOOST_TEST(owner.openRequests() == 6U);
+}
+
 namespace {
 
 struct SparseFixture : Fixture
