Fix the customer table for keys that move between shards

Cause: a key that moved to a customer of another shard kept the string view of its old shard. The update of the old shard then freed the text, so that the key was no longer found (customer_table_test, case "a key that moves to another shard is lost with its old shard": failed before, passes now, also with AddressSanitizer). Change: an entry is replaced together with its view. Shards are shared (CustomerShardPtr) so that the configuration and the table hold each key once. shardCustomers() divides customers and sorts them, so that the order of a list changes no shard. Ruled out: keeping a copy of each key in the table, which costs one allocation more per key.

--- a/src/customers/customer_table.cpp
+++ b/src/customers/customer_table.cpp
@@ -3,6 +3,9 @@
 
 #include "berylspur/core/ids.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace berylspur {
 
 namespace {
@@ -22,29 +25,62 @@
     return static_cast<std::uint32_t>(hash64(name) % CustomerShards);
 }
 
-void CustomerTable::update(const schema::CustomerShard &shard)
+std::vector<schema::CustomerShard> shardCustomers(std::vector<schema::Customer> customers)
 {
-    auto &stored = m_shards[shard.number()];
-    remove(stored);
-    stored = shard;
-    for (const auto &customer : stored.customers()) {
-        m_byName[customer.name()] = &customer;
-        for (const auto &key : customer.keys())
-            m_byKey[key] = &customer;
+    std::sort(customers.begin(), customers.end(),
+              [](const auto &left, const auto &right) { return left.name() < right.name(); });
+    std::map<std::uint32_t, schema::CustomerShard> shards;
+    for (auto &customer : customers) {
+        const auto number = customerShard(customer.name());
+        *shards[number].add_customers() = std::move(customer);
+    }
+    std::vector<schema::CustomerShard> result;
+    result.reserve(shards.size());
+    for (auto &[number, shard] : shards) {
+        shard.set_number(number);
+        result.push_back(std::move(shard));
     }
+    return result;
+}
+
+void CustomerTable::update(const schema::CustomerShard &shard)
+{
+    update(std::make_shared<const schema::CustomerShard>(shard));
 }
 
-void CustomerTable::remove(const schema::CustomerShard &shard)
+void CustomerTable::update(CustomerShardPtr shard)
 {
-    for (const auto &customer : shard.customers()) {
-        m_byName.erase(customer.name());
-        for (const auto &key : customer.keys()) {
-            // The key may have moved to a customer of another shard in the meantime.
-            const auto found = m_byKey.find(key);
-            if (found != m_byKey.end() && found->second == &customer)
-                m_byKey.erase(found);
+    // The previous shard is kept until none of its names and keys is referred to.
+    auto &stored = m_shards[shard->number()];
+    const auto previous = std::exchange(stored, std::move(shard));
+    if (previous) {
+        for (const auto &customer : previous->customers()) {
+            remove(m_byName, customer.name(), customer);
+            for (const auto &key : customer.keys())
+                remove(m_byKey, key, customer);
         }
     }
+    for (const auto &customer : stored->customers()) {
+        add(m_byName, customer.name(), customer);
+        for (const auto &key : customer.keys())
+            add(m_byKey, key, customer);
+    }
+}
+
+void CustomerTable::add(Index &index, std::string_view text, const schema::Customer &customer)
+{
+    // An existing entry is replaced with its view, which refers to text of another shard if a key
+    // moves to this customer before the update of that shard.
+    index.erase(text);
+    index.emplace(text, &customer);
+}
+
+void CustomerTable::remove(Index &index, std::string_view text, const schema::Customer &customer)
+{
+    // The key may have moved to a customer of another shard in the meantime.
+    const auto found = index.find(text);
+    if (found != index.end() && found->second == &customer)
+        index.erase(found);
 }
 
 const schema::Customer *CustomerTable::find(std::string_view key) const
