Write the customers of a manifest as content objects by shard

Cause: customers of a manifest were accepted by the schema and ignored by apply. Change: apply writes manifest/customers/<shard>/<hash> and lists the shards in the head; an unchanged shard keeps its revision, one without customers stays listed with an empty hash. checkManifest() rejects two customers of one name and a key of two customers (2006 ManifestCustomerConflict; the message names customers, never a key). A drain keeps the customers of the head. Ruled out: one object for all customers (a change of one would send all of them, and 64,000 exceed the value limit of 1 MB).

--- a/include/berylspur/config/manifest_check.h
+++ b/include/berylspur/config/manifest_check.h
@@ -12,6 +12,7 @@
 /// - ManifestDuplicateService for two services with the same name,
 /// - ManifestRouteConflict for two routes with the same host, path prefix and method; a route
 ///   without methods matches all methods that no other route lists, so at most one is allowed,
+/// - ManifestCustomerConflict for two customers with the same name or the same key,
 /// - ManifestInvalid for a customer listed twice in a service, for a concurrency limit above 0 and
 ///   below the number of declared endpoints (each owner admits at least one request per endpoint,
 ///   so the fleet would exceed the limit), and for content that exceeds the platform's value size.
--- a/include/berylspur/core/error_code.h
+++ b/include/berylspur/core/error_code.h
@@ -26,6 +26,7 @@
     ManifestRouteConflict = 2003,
     ManifestConflict = 2004,
     ManifestWrongFleet = 2005,
+    ManifestCustomerConflict = 2006,
 
     RequestMalformed = 3001,
     RequestAmbiguousFraming = 3002,
--- a/include/berylspur/ctl/manifest_writer.h
+++ b/include/berylspur/ctl/manifest_writer.h
@@ -44,10 +44,12 @@
     bool isUnchanged = false; ///< the head already has this content; nothing was written
     bool isRecovered = false; ///< a response was lost; the head shows that the write took effect
     std::vector<std::string> changedServices; ///< services that this write adds, changes or deletes
+    bool customersChanged = false; ///< this write adds, changes or deletes customers
     /// Endpoints and nodes ("service: name") that the old head drains and this write does not.
     std::vector<std::string> undrained;
     std::optional<WinningWrite> winner; ///< on ManifestConflict, and if this was replaced later
     std::vector<std::string> differingServices; ///< content differs from that of the winner
+    bool customersDiffer = false; ///< from those of the winner
 };
 
 /// Writes manifests to the platform. Invariants: at most one write of the head takes effect per
@@ -86,6 +88,8 @@
 
     /// Object name "manifest/services/<service>/<hash>".
     static std::string contentName(const std::string &service, const std::string &hash);
+    /// Object name "manifest/customers/<shard>/<hash>".
+    static std::string customerContentName(std::uint32_t shard, const std::string &hash);
     /// 128-bit hash of \a content in hexadecimal.
     static std::string contentHash(const std::string &content);
 
@@ -94,6 +98,7 @@
 
     void addService(Plan &plan, const schema::Service &service, const std::string &customerHeader);
     void addDeletions(Plan &plan);
+    void addCustomers(Plan &plan, const schema::Manifest &manifest);
     std::vector<std::string> findUndrainedTargets(const Plan &plan);
     WriteOutcome commit(Plan &plan, const WriteIdentity &identity);
     WriteOutcome writeHead(const Plan &plan);
--- a/src/config/manifest_check.cpp
+++ b/src/config/manifest_check.cpp
@@ -1,10 +1,12 @@
-// Checks of the service names, routes and limits of a manifest.
+// Checks of the service names, routes, limits and customers of a manifest.
 #include "berylspur/config/manifest_check.h"
 
+#include "berylspur/customers/customer_table.h"
 #include "berylspur/settings/yaml_loader.h"
 
 #include <map>
 #include <set>
+#include <string_view>
 #include <tuple>
 
 namespace berylspur {
@@ -83,6 +85,34 @@
     return success();
 }
 
+/// Messages name customers only, because keys must not appear in error messages.
+Result<void> checkCustomers(const schema::Manifest &manifest)
+{
+    std::set<std::string_view> names;
+    std::map<std::string_view, std::string_view> holders; // by key
+    for (const auto &customer : manifest.customers()) {
+        if (!names.insert(customer.name()).second)
+            return failure(ErrorCode::ManifestCustomerConflict,
+                           "customers: " + customer.name() + " is listed twice");
+        for (const auto &key : customer.keys()) {
+            const auto [holder, isNew] = holders.emplace(key, customer.name());
+            if (!isNew && holder->second != customer.name())
+                return failure(ErrorCode::ManifestCustomerConflict,
+                               "customers: " + std::string(holder->second) + " and "
+                                       + customer.name() + " hold the same key");
+        }
+    }
+    for (const auto &shard :
+         shardCustomers({manifest.customers().begin(), manifest.customers().end()})) {
+        if (shard.ByteSizeLong() > MaxValueBytes)
+            return failure(ErrorCode::ManifestInvalid,
+                           "customers: shard " + std::to_string(shard.number())
+                                   + " exceeds the platform's value limit of "
+                                   + std::to_string(MaxValueBytes) + " bytes");
+    }
+    return success();
+}
+
 } // namespace
 
 Result<void> checkManifest(const schema::Manifest &manifest)
@@ -95,7 +125,7 @@
         if (auto result = checkService(service, routes); !result)
             return result;
     }
-    return success();
+    return checkCustomers(manifest);
 }
 
 Result<schema::Manifest> loadManifest(const std::string &file)
--- a/src/core/error_code.cpp
+++ b/src/core/error_code.cpp
@@ -37,6 +37,8 @@
          "two routes match the same host, path prefix and method"},
         {ErrorCode::ManifestConflict, "ManifestConflict", "another manifest was accepted first"},
         {ErrorCode::ManifestWrongFleet, "ManifestWrongFleet", "the manifest names another fleet"},
+        {ErrorCode::ManifestCustomerConflict, "ManifestCustomerConflict",
+         "two customers in the manifest have the same name or the same key"},
         {ErrorCode::RequestMalformed, "RequestMalformed", "the request is not valid HTTP"},
         {ErrorCode::RequestAmbiguousFraming, "RequestAmbiguousFraming",
          "the length of the request body is ambiguous"},
--- a/src/ctl/manifest_writer.cpp
+++ b/src/ctl/manifest_writer.cpp
@@ -3,6 +3,7 @@
 #include "berylspur/ctl/manifest_writer.h"
 
 #include "berylspur/core/ids.h"
+#include "berylspur/customers/customer_table.h"
 #include "berylspur/options.pb.h"
 
 #include <algorithm>
@@ -16,6 +17,7 @@
 namespace {
 
 using Entry = schema::ManifestHead::Entry;
+using CustomerEntry = schema::ManifestHead::CustomerEntry;
 
 constexpr std::size_t MaxHeadBytes = 1000000;
 constexpr int MaxWriteAttempts = 3;
@@ -52,6 +54,28 @@
     return found;
 }
 
+std::map<std::uint32_t, CustomerEntry> customerEntries(const schema::ManifestHead &head)
+{
+    std::map<std::uint32_t, CustomerEntry> entries;
+    for (const auto &entry : head.customer_entries())
+        entries[entry.shard()] = entry;
+    return entries;
+}
+
+/// True if the customers of two heads differ. An empty shard equals an absent one.
+bool haveDifferentCustomers(const schema::ManifestHead &left, const schema::ManifestHead &right)
+{
+    const auto hashes = [](const schema::ManifestHead &head) {
+        std::map<std::uint32_t, std::string> found;
+        for (const auto &entry : head.customer_entries()) {
+            if (!entry.hash().empty())
+                found[entry.shard()] = entry.hash();
+        }
+        return found;
+    };
+    return hashes(left) != hashes(right);
+}
+
 bool isDrainTarget(const std::string &target)
 {
     const auto *field = schema::Service::descriptor()->FindFieldByName("drain");
@@ -87,8 +111,11 @@
     Head base; ///< head that this write replaces
     schema::ManifestHead next;
     std::map<std::string, Entry> entries; ///< entries of the next head, by service
-    std::vector<PlatformObject> contents; ///< content objects to write before the head
+    std::map<std::uint32_t, CustomerEntry> customers; ///< entries of the next head, by shard
+    std::vector<PlatformObject> contents; ///< content of services to write before the head
+    std::vector<PlatformObject> customerContents; ///< the same for customers
     std::vector<std::string> changedServices;
+    bool customersChanged = false;
     /// True if a node has a higher revision than the current head, which means that the platform
     /// lost data. All entries then get the new revision so that nodes accept every one of them.
     bool bumpAllRevisions = false;
@@ -105,6 +132,11 @@
     return "manifest/services/" + service + "/" + hash;
 }
 
+std::string ManifestWriter::customerContentName(std::uint32_t shard, const std::string &hash)
+{
+    return "manifest/customers/" + std::to_string(shard) + "/" + hash;
+}
+
 std::string ManifestWriter::contentHash(const std::string &content)
 {
     std::ostringstream text;
@@ -173,6 +205,34 @@
     }
 }
 
+void ManifestWriter::addCustomers(Plan &plan, const schema::Manifest &manifest)
+{
+    std::map<std::uint32_t, std::string> contents;
+    for (const auto &shard :
+         shardCustomers({manifest.customers().begin(), manifest.customers().end()}))
+        contents[shard.number()] = shard.SerializeAsString();
+    for (std::uint32_t number = 0; number < CustomerShards; ++number) {
+        const auto content = contents.find(number);
+        const bool isEmpty = content == contents.end();
+        const auto old = plan.customers.find(number);
+        const bool wasEmpty = old == plan.customers.end() || old->second.hash().empty();
+        CustomerEntry entry;
+        entry.set_shard(number);
+        entry.set_hash(isEmpty ? std::string() : contentHash(content->second));
+        entry.set_revision(plan.next.revision());
+        const bool isSame = isEmpty ? wasEmpty : !wasEmpty && old->second.hash() == entry.hash();
+        // After data loss, nodes may hold shards that the platform no longer lists, so that empty
+        // ones are listed too.
+        if (isSame && !plan.bumpAllRevisions)
+            continue;
+        if (!isEmpty)
+            plan.customerContents.push_back(
+                    {customerContentName(number, entry.hash()), NoObject, content->second});
+        plan.customersChanged = true;
+        plan.customers[number] = entry;
+    }
+}
+
 WriteOutcome ManifestWriter::apply(const schema::Manifest &manifest,
                                    const ActiveRevisions &activeRevisions,
                                    const WriteIdentity &identity)
@@ -184,6 +244,7 @@
     plan.base = std::move(head.value());
     plan.activeRevisions = activeRevisions;
     plan.entries = entriesByService(plan.base.content);
+    plan.customers = customerEntries(plan.base.content);
     plan.bumpAllRevisions = activeRevisions.revision > plan.base.content.revision();
     plan.next.set_revision(std::max(plan.base.content.revision(), activeRevisions.revision) + 1);
     plan.next.set_customer_header(manifest.customer_header());
@@ -192,7 +253,8 @@
         plan.next.add_entries()->set_service(service.name());
     }
     addDeletions(plan);
-    if (plan.changedServices.empty() && plan.base.version != NoObject) {
+    addCustomers(plan, manifest);
+    if (plan.changedServices.empty() && !plan.customersChanged && plan.base.version != NoObject) {
         WriteOutcome outcome;
         outcome.revision = plan.base.content.revision();
         outcome.isUnchanged = true;
@@ -217,6 +279,7 @@
     Plan plan;
     plan.base = std::move(head.value());
     plan.entries = entriesByService(plan.base.content);
+    plan.customers = customerEntries(plan.base.content);
     if (activeRevisions.revision > plan.base.content.revision())
         return failedOutcome(ErrorCode::PlatformOlderData,
                              "nodes run revision " + std::to_string(activeRevisions.revision)
@@ -285,6 +348,9 @@
     next.clear_entries();
     for (const auto &[name, entry] : plan.entries)
         *next.add_entries() = entry;
+    next.clear_customer_entries();
+    for (const auto &[number, entry] : plan.customers)
+        *next.add_customer_entries() = entry;
     if (!base.apply_id().empty()) {
         auto &last = *next.add_earlier();
         last.set_revision(base.revision());
@@ -296,10 +362,13 @@
         return failedOutcome(
                 ErrorCode::ManifestInvalid,
                 "too many services: the head exceeds the size limit of a platform object");
-    if (auto created = m_session.createAll(plan.contents); !created)
-        return readFailure(created.error());
+    for (const auto *contents : {&plan.contents, &plan.customerContents}) {
+        if (auto created = m_session.createAll(*contents); !created)
+            return readFailure(created.error());
+    }
     auto outcome = writeHead(plan);
     outcome.changedServices = plan.changedServices;
+    outcome.customersChanged = plan.customersChanged;
     return outcome;
 }
 
@@ -363,6 +432,7 @@
         return std::nullopt;
     outcome.winner = {head.content.author(), head.content.revision(), head.content.time_ms()};
     outcome.differingServices = servicesWithDifferentContent(plan.next, head.content);
+    outcome.customersDiffer = haveDifferentCustomers(plan.next, head.content);
     return outcome;
 }
 
@@ -374,6 +444,7 @@
     outcome.revision = head.content.revision();
     outcome.winner = {head.content.author(), head.content.revision(), head.content.time_ms()};
     outcome.differingServices = servicesWithDifferentContent(plan.next, head.content);
+    outcome.customersDiffer = haveDifferentCustomers(plan.next, head.content);
     return outcome;
 }
 
--- a/src/ctl/report.cpp
+++ b/src/ctl/report.cpp
@@ -1,6 +1,7 @@
 // Formats command results as text and JSON.
 #include "berylspur/ctl/report.h"
 
+#include <algorithm>
 #include <google/protobuf/util/json_util.h>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -40,6 +41,13 @@
            + formatTime(winner.timeMs);
 }
 
+void appendDifferences(std::string &text, const WriteOutcome &outcome)
+{
+    appendLine(text, "differing services: ", outcome.differingServices);
+    if (outcome.customersDiffer)
+        text += "the customers differ\n";
+}
+
 std::string formatWriteOutcome(const WriteOutcome &outcome)
 {
     const auto revision = std::to_string(outcome.revision);
@@ -48,7 +56,7 @@
         text = describe(outcome.error) + "\n";
         if (outcome.winner)
             text += "winning write: " + formatWinner(*outcome.winner) + "\n";
-        appendLine(text, "differing services: ", outcome.differingServices);
+        appendDifferences(text, outcome);
         return text;
     }
     if (outcome.isUnchanged)
@@ -57,9 +65,11 @@
     if (outcome.isRecovered)
         text += "a response from the platform was lost, but the write took effect\n";
     appendLine(text, "changed: ", outcome.changedServices);
+    if (outcome.customersChanged)
+        text += "customers changed\n";
     if (outcome.winner) {
         text += "replaced since: " + formatWinner(*outcome.winner) + "\n";
-        appendLine(text, "differing services: ", outcome.differingServices);
+        appendDifferences(text, outcome);
     }
     return text;
 }
@@ -139,8 +149,10 @@
     json["unchanged"] = outcome.isUnchanged;
     json["recovered"] = outcome.isRecovered;
     json["changed"] = outcome.changedServices;
+    json["customers-changed"] = outcome.customersChanged;
     json["undrained"] = outcome.undrained;
     json["differs"] = outcome.differingServices;
+    json["customers-differ"] = outcome.customersDiffer;
     json["unreachable"] = unreachable;
     json["apply-id"] = applyId;
     if (outcome.winner)
@@ -158,6 +170,9 @@
     Report report;
     std::ostringstream text;
     auto list = Json::array();
+    std::uint64_t customersRevision = 0; // that last changed a customer
+    for (const auto &entry : head.customer_entries())
+        customersRevision = std::max(customersRevision, entry.revision());
     text << "manifest: revision " << head.revision() << " by " << head.author() << "\n";
     for (const auto &node : nodes) {
         const auto admin = node.admin.toString();
@@ -175,6 +190,8 @@
             if (isAbsent ? !entry.hash().empty() : found->second < entry.revision())
                 behind.push_back(entry.service());
         }
+        if (node.revision < customersRevision)
+            behind.emplace_back("customers");
         if (!behind.empty() && report.code == ErrorCode::Ok)
             report.code = ErrorCode::CommandNotInForce;
         text << node.node << " " << admin << ": revision " << node.revision
--- a/tests/manifest_writer_test.cpp
+++ b/tests/manifest_writer_test.cpp
@@ -3,6 +3,7 @@
 #include "berylspur/core/ids.h"
 #include "berylspur/ctl/manifest_writer.h"
 #include "berylspur/ctl/report.h"
+#include "berylspur/customers/customer_table.h"
 #include "platform_fixture.h"
 #include "property_check.h"
 
@@ -439,3 +440,49 @@
         }
     });
 }
+
+// Guards against a change of one customer that rewrites all of them, against customers who stay
+// after the manifest has lost them, and against a drain that drops them.
+BOOST_FIXTURE_TEST_CASE(only_changed_customer_shards_get_the_new_revision, ApplyFixture)
+{
+    auto manifest = makeManifest({"a"});
+    for (const auto *name : {"x", "y"}) {
+        auto &customer = *manifest.add_customers();
+        customer.set_name(name);
+        customer.add_keys(std::string("key-") + name);
+    }
+    const auto shardOf = [this](const std::string &name) {
+        const auto current = head();
+        for (const auto &entry : current.customer_entries()) {
+            if (entry.shard() == customerShard(name))
+                return entry;
+        }
+        return schema::ManifestHead::CustomerEntry();
+    };
+    BOOST_TEST(apply(manifest).customersChanged);
+    BOOST_TEST(apply(manifest).isUnchanged);
+    manifest.mutable_customers(0)->set_rate(5);
+    const auto outcome = apply(manifest);
+    BOOST_TEST(outcome.customersChanged);
+    BOOST_TEST(outcome.changedServices.empty());
+    BOOST_TEST(shardOf("x").revision() == 2U);
+    BOOST_TEST(shardOf("y").revision() == 1U);
+    schema::CustomerShard content;
+    const auto object = server.store().read(
+            ManifestWriter::customerContentName(customerShard("x"), shardOf("x").hash()));
+    BOOST_REQUIRE(object.has_value());
+    BOOST_REQUIRE(content.ParseFromString(object->value));
+    BOOST_TEST(content.customers(0).rate() == 5U);
+    writer.drain("a", "node-1", false, {}, makeIdentity("ana"));
+    BOOST_TEST(!shardOf("x").hash().empty());
+    apply(makeManifest({"a"}));
+    BOOST_TEST(shardOf("x").hash().empty());
+    BOOST_TEST(shardOf("x").revision() == 4U);
+    BOOST_TEST(apply(makeManifest({"a"})).isUnchanged);
+    // After data loss, nodes may hold customers that the platform no longer lists.
+    ActiveRevisions active;
+    active.revision = 9;
+    apply(makeManifest({"a"}), "ana", active);
+    BOOST_TEST(head().customer_entries_size() == static_cast<int>(CustomerShards));
+    BOOST_TEST(shardOf("y").revision() == 10U);
+}
