Decode the platform's customers, public routes and uploads

Cause: resources of type `tenants` were skipped and `public` was not read. Change: they become customer shards and Route.anonymous; `upload` is a known type that is not idempotent. Rates and bursts may be fractions; one above 0 is at least 1. An unusable optional value is ignored with a warning that does not contain it, because a rejected configuration would also keep the keys in force that it withdraws. A key of two customers, a name listed twice and a name that no header can carry make the configuration invalid. A parse error names the byte only, since the parser's text quotes the input and with it keys. The customer's header names are known; without customers no such header is sent. Ruled out: taking the later of two customers with one key, which would depend on the order of the list.

--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -1,6 +1,7 @@
 // Decoding of the operator's configuration and of the requests of endpoints.
 #define BOOST_TEST_MODULE platform_adapter
 #include "berylspur/core/duration_text.h"
+#include "berylspur/customers/customer_table.h"
 #include "platform/configuration.h"
 #include "platform/heartbeat_server.h"
 
@@ -277,3 +278,131 @@
     const double all = first + split.Get(1).weight();
     BOOST_TEST(std::abs(first / all - row.share) < 1e-5);
 }
+
+namespace {
+
+constexpr const char *Secret = "key-of-a-customer";
+
+/// A value of a customer's resource, and what is read from it.
+struct CustomerCase
+{
+    const char *guards; ///< failure that the case guards against
+    json spec;
+    int keys;
+    std::uint32_t rate;
+    std::uint32_t burst;
+    int priority; ///< -1: that of the route
+};
+
+std::ostream &operator<<(std::ostream &out, const CustomerCase &sample)
+{
+    return out << sample.guards;
+}
+
+const std::vector<CustomerCase> CustomerCases {
+        {"values are lost",
+         {{"apiKeys", {"k", "l"}}, {"priority", 1}, {"ratePerS", 118}, {"burst", 120}},
+         2,
+         118,
+         120,
+         1},
+        {"the most urgent priority is taken for none", {{"priority", 0}}, 0, 0, 0, 0},
+        {"absent values are limits", {{"apiKeys", {"k"}}}, 1, 0, 0, -1},
+        {"null is a limit", {{"apiKeys", nullptr}, {"ratePerS", nullptr}}, 0, 0, 0, -1},
+        {"fractions are refused", {{"ratePerS", 118.6}, {"burst", 2.4}}, 0, 119, 2, -1},
+        {"a small limit becomes none", {{"ratePerS", 0.2}, {"burst", 0.01}}, 0, 1, 1, -1},
+        {"a large limit becomes a small one", {{"ratePerS", 1e12}}, 0, 4294967295U, 0, -1},
+        {"an unusable value keeps withdrawn keys in force",
+         {{"apiKeys", {"k"}}, {"ratePerS", "fast"}, {"burst", -3}, {"priority", "high"}},
+         1,
+         0,
+         0,
+         -1},
+        {"a key that no caller can send costs the others",
+         {{"apiKeys", {"k", "", 7, "l\r\nm", " n"}}},
+         1,
+         0,
+         0,
+         -1},
+        {"a single key is no list", {{"apiKeys", "k"}}, 1, 0, 0, -1},
+};
+
+json tenant(const std::string &name, const json &spec)
+{
+    return {{"typeUrl", "tenants"}, {"metadata", {{"name", name}}}, {"spec", spec}};
+}
+
+json key(const std::string &text)
+{
+    return {{"apiKeys", {text}}};
+}
+
+/// Resources that are added to a valid configuration and make it invalid.
+const std::vector<std::pair<const char *, std::vector<json>>> CustomerConflicts {
+        {"the holder of a key depends on the order",
+         {tenant("a", key(Secret)), tenant("b", key(Secret))}},
+        {"the keys of a customer depend on the order",
+         {tenant("a", key(Secret)), tenant("a", key("k"))}},
+        {"a name adds headers to requests", {tenant("a\r\nX: y", key(Secret))}},
+        {"a customer without a name", {tenant("", key(Secret))}},
+};
+
+Result<schema::ConfigDelta> decodeWith(const std::vector<json> &resources)
+{
+    auto text = configuration();
+    for (const auto &resource : resources)
+        text["resources"].push_back(resource);
+    return platform::decodeConfiguration(text.dump(), {});
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(customers_are_decoded, data::make(CustomerCases))
+{
+    const auto decoded = decodeWith({tenant("bozi300", sample.spec)});
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_REQUIRE(decoded.value().customer_shards_size() == 1);
+    const auto &shard = decoded.value().customer_shards(0);
+    BOOST_TEST(shard.revision() == 0x1cU);
+    BOOST_TEST(shard.number() == customerShard("bozi300"));
+    const auto &customer = shard.customers(0);
+    BOOST_TEST(customer.name() == "bozi300");
+    BOOST_TEST(customer.keys_size() == sample.keys);
+    BOOST_TEST(customer.rate() == sample.rate);
+    BOOST_TEST(customer.burst() == sample.burst);
+    BOOST_TEST((customer.has_priority() ? static_cast<int>(customer.priority()) : -1)
+               == sample.priority);
+}
+
+BOOST_AUTO_TEST_CASE(customers_in_conflict_are_rejected)
+{
+    for (const auto &[guards, resources] : CustomerConflicts) {
+        const auto decoded = decodeWith(resources);
+        BOOST_REQUIRE_MESSAGE(!decoded.has_value(), guards);
+        BOOST_TEST((decoded.error().code == ErrorCode::ManifestInvalid));
+        BOOST_TEST(decoded.error().detail.find(Secret) == std::string::npos, guards);
+    }
+    // Guards against the parser's message, which quotes the text before the error.
+    const auto text = configuration().dump() + "\"" + Secret + "\"";
+    BOOST_TEST(platform::decodeConfiguration(text, {}).error().detail.find(Secret)
+               == std::string::npos);
+}
+
+// Guards against a route that needs no key because its flag is unusable, and against uploads that
+// are repeated.
+BOOST_AUTO_TEST_CASE(public_routes_and_uploads_are_decoded)
+{
+    auto text = configuration();
+    auto &specs = text["resources"];
+    specs[0]["spec"]["type"] = "upload";
+    specs[0]["spec"]["public"] = "yes";
+    specs[1]["spec"]["public"] = true;
+    const auto decoded = platform::decodeConfiguration(text.dump(), {});
+    BOOST_REQUIRE(decoded.has_value());
+    const auto &upload = find(decoded.value(), "one")->content().routes(0);
+    BOOST_TEST(!upload.idempotent());
+    BOOST_TEST((upload.request_class() == schema::CLASS_SHORT));
+    BOOST_TEST(!upload.anonymous());
+    BOOST_TEST(find(decoded.value(), "two")->content().routes(0).anonymous());
+    BOOST_TEST(decoded.value().customer_shards_size() == 0);
+}
