Require keys and send the customer's name where the configuration has customers

Change: customer shards travel in ConfigDelta beside the services; the highest revision of each shard wins and a shard that lost its customers stays as an empty one. The gate checks the key of each request after it matched the route: 401 RequestUnauthorized for a missing or unknown key unless the route is public. Nested calls take customer and priority from their parent; a request with a key is never one. A customer's priority goes before its route's. Keys, and customer headers of callers, are not forwarded. Without customers the headers stay as they were. A pull of an external configuration from a peer that never had the revision of the asking node is answered with a complete delta; parts that the node has are named without their content. Before, a node kept a customer that a restarted peer, or one that missed a revision, had never known (config_test, cases "a customer stays valid because ...": these fail with deltaSince()). Ruled out: tombstones alone, since a peer that read only the newest revision has none; sending the whole configuration at each such pull (6 MB at 64,000 customers).

--- a/include/berylspur/config/config_task.h
+++ b/include/berylspur/config/config_task.h
@@ -44,8 +44,8 @@
     /// Handles PeerMethod::Config and returns the response envelope.
     std::string handlePull(const std::string &envelope);
 
-    /// Emitted with the services whose configuration changed.
-    sigc::signal<void(const std::vector<const schema::ServiceConfig *> &)> changed;
+    /// Emitted with the services and customer shards that changed together.
+    sigc::signal<void(const ConfigChange &)> changed;
 
 private:
     class Impl;
--- a/src/config/config_task.cpp
+++ b/src/config/config_task.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <set>
+#include <variant>
 
 namespace berylspur {
 
@@ -16,6 +17,7 @@
 
 constexpr const char *HeadObject = "manifest/head";
 constexpr std::string_view ServicesPrefix = "manifest/services/";
+constexpr std::string_view CustomersPrefix = "manifest/customers/";
 /// Peers from which a starting node pulls the configuration.
 constexpr std::size_t InitialPullPeers = 3;
 constexpr Duration WatcherCheckInterval = seconds(1);
@@ -24,17 +26,61 @@
 constexpr Duration MinWatchRetry = milliseconds(100);
 constexpr Duration MaxWatchRetry = seconds(1);
 constexpr Duration FetchRetryInterval = milliseconds(500);
-/// Limits concurrent reads of service objects, so that reading a complete manifest does not starve
+/// Limits concurrent reads of content objects, so that reading a complete manifest does not starve
 /// other clients of the platform.
 constexpr std::size_t MaxConcurrentFetches = 8;
 /// Watchers of an external configuration in each failure domain. With a second one, the domain
 /// still receives changes if the platform rejects the first.
 constexpr std::size_t WatchersPerDomain = 2;
-/// If more services than this change at once, one node of the fleet reads them, and the watchers of
-/// the other failure domains wait LargeChangeDelay for its revision.
-constexpr std::size_t LargeChangeServices = 16;
+/// If more content objects than this change at once, one node of the fleet reads them, and the
+/// watchers of the other failure domains wait LargeChangeDelay for its revision.
+constexpr std::size_t LargeChangeObjects = 16;
 constexpr Duration LargeChangeDelay = seconds(2);
 
+/// Entry of the head whose content is read from the platform.
+using ContentEntry = std::variant<schema::ManifestHead::Entry, schema::ManifestHead::CustomerEntry>;
+
+std::string contentName(const schema::ManifestHead::Entry &entry)
+{
+    return std::string(ServicesPrefix) + entry.service() + "/" + entry.hash();
+}
+
+std::string contentName(const schema::ManifestHead::CustomerEntry &entry)
+{
+    return std::string(CustomersPrefix) + std::to_string(entry.shard()) + "/" + entry.hash();
+}
+
+/// Adds the service of \a entry to \a delta with the \a content that was read for it; an empty hash
+/// means that it was deleted. Returns false if the content is malformed.
+bool addContent(const schema::ManifestHead::Entry &entry, const std::string &content,
+                const schema::ManifestHead &head, schema::ConfigDelta &delta)
+{
+    schema::ServiceConfig config;
+    config.set_service(entry.service());
+    config.set_revision(entry.revision());
+    config.set_deleted(entry.hash().empty());
+    if (!config.deleted()) {
+        if (!config.mutable_content()->ParseFromString(content))
+            return false;
+        config.set_customer_header(head.customer_header());
+    }
+    *delta.add_services() = std::move(config);
+    return true;
+}
+
+/// The same for customers; an empty hash means that the shard has none.
+bool addContent(const schema::ManifestHead::CustomerEntry &entry, const std::string &content,
+                const schema::ManifestHead &, schema::ConfigDelta &delta)
+{
+    schema::CustomerShard shard;
+    if (!entry.hash().empty() && !shard.ParseFromString(content))
+        return false;
+    shard.set_number(entry.shard());
+    shard.set_revision(entry.revision());
+    *delta.add_customer_shards() = std::move(shard);
+    return true;
+}
+
 } // namespace
 
 class ConfigTask::Impl
@@ -96,9 +142,11 @@
     void onHead(const PlatformObject &object);
     void onWatchFailed(const Error &error);
     void fetchMore();
-    void fetch(const schema::ManifestHead::Entry &entry);
-    void onFetched(const schema::ManifestHead::Entry &entry, std::uint64_t headRevision,
+    void fetch(const ContentEntry &entry);
+    void onFetched(const ContentEntry &entry, std::uint64_t headRevision,
                    const Result<PlatformObject> &object);
+    /// Adds \a entry to m_fetched. Returns false if \a content is malformed.
+    bool addFetched(const ContentEntry &entry, const std::string &content);
     void finishFetch();
 
     // Peers.
@@ -107,6 +155,8 @@
     void pullNewest();
     void pull(const Address &address, const std::function<void(bool)> &done);
 
+    /// Applies the \a delta that a peer sent for a pull from \a revision.
+    void onPulled(const schema::ConfigDelta &delta, std::uint64_t revision);
     void apply(const schema::ConfigDelta &delta);
 
     ConfigTask &m_task;
@@ -134,10 +184,10 @@
     bool m_watching = false;
     Duration m_watchRetry = MinWatchRetry;
     ObjectVersion m_headVersion;
-    /// Head whose services are being fetched. Applied in one step, so that a change of several
-    /// services takes effect together.
+    /// Head whose content is being fetched. Applied in one step, so that a change of several
+    /// services or customers takes effect together.
     schema::ManifestHead m_head;
-    std::vector<schema::ManifestHead::Entry> m_entriesToFetch;
+    std::vector<ContentEntry> m_entriesToFetch;
     std::size_t m_fetchesInFlight = 0;
     schema::ConfigDelta m_fetched;
     bool m_headPending = false;
@@ -292,11 +342,15 @@
                   {{"revision", head.revision()}, {"in-force", m_store.revision()}});
         return;
     }
-    m_entriesToFetch = m_store.newerEntries(head);
+    m_entriesToFetch.clear();
+    for (auto &entry : m_store.newerEntries(head))
+        m_entriesToFetch.emplace_back(std::move(entry));
+    for (auto &entry : m_store.newerCustomerEntries(head))
+        m_entriesToFetch.emplace_back(std::move(entry));
     m_head = std::move(head);
     m_fetched.Clear();
     m_headPending = true;
-    if (m_entriesToFetch.size() > LargeChangeServices && !isLargeChangeReader())
+    if (m_entriesToFetch.size() > LargeChangeObjects && !isLargeChangeReader())
         m_fetchTimer.start(LargeChangeDelay);
     else
         fetchMore();
@@ -320,18 +374,16 @@
         finishFetch();
 }
 
-void ConfigTask::Impl::fetch(const schema::ManifestHead::Entry &entry)
+void ConfigTask::Impl::fetch(const ContentEntry &entry)
 {
-    if (entry.hash().empty()) {
-        auto &config = *m_fetched.add_services();
-        config.set_service(entry.service());
-        config.set_revision(entry.revision());
-        config.set_deleted(true);
+    const bool hasContent =
+            !std::visit([](const auto &content) { return content.hash().empty(); }, entry);
+    if (!hasContent) {
+        addFetched(entry, {});
         return;
     }
     ++m_fetchesInFlight;
-    std::string name(ServicesPrefix);
-    name.append(entry.service()).append("/").append(entry.hash());
+    const auto name = std::visit([](const auto &content) { return contentName(content); }, entry);
     m_platform.read(name, [this, alive = std::weak_ptr(m_alive), entry,
                            headRevision = m_head.revision()](const auto &object) {
         if (!alive.expired())
@@ -339,26 +391,26 @@
     });
 }
 
-void ConfigTask::Impl::onFetched(const schema::ManifestHead::Entry &entry,
-                                 std::uint64_t headRevision, const Result<PlatformObject> &object)
+bool ConfigTask::Impl::addFetched(const ContentEntry &entry, const std::string &content)
+{
+    return std::visit(
+            [&](const auto &part) { return addContent(part, content, m_head, m_fetched); }, entry);
+}
+
+void ConfigTask::Impl::onFetched(const ContentEntry &entry, std::uint64_t headRevision,
+                                 const Result<PlatformObject> &object)
 {
     --m_fetchesInFlight;
     if (headRevision != m_head.revision()) {
         fetchMore(); // a newer head replaced the one that this object was read for
         return;
     }
-    schema::Service content;
-    if (!object || !content.ParseFromString(object.value().value)) {
+    if (!object || !addFetched(entry, object.value().value)) {
         // Content is written before the head, so if it is missing, the platform served older data.
         m_entriesToFetch.push_back(entry);
         m_fetchTimer.start(FetchRetryInterval);
         return;
     }
-    auto &config = *m_fetched.add_services();
-    config.set_service(entry.service());
-    config.set_revision(entry.revision());
-    *config.mutable_content() = std::move(content);
-    config.set_customer_header(m_head.customer_header());
     fetchMore();
 }
 
@@ -376,7 +428,9 @@
     m_membership.setConfigRevision(m_store.revision());
     if (changed.empty())
         return;
-    log::info("config-changed", {{"revision", m_store.revision()}, {"services", changed.size()}});
+    log::info("config-changed", {{"revision", m_store.revision()},
+                                 {"services", changed.services.size()},
+                                 {"customer-shards", changed.customerShards.size()}});
     m_task.changed.emit(changed);
 }
 
@@ -435,17 +489,34 @@
     });
 }
 
+void ConfigTask::Impl::onPulled(const schema::ConfigDelta &delta, std::uint64_t revision)
+{
+    if (!delta.complete()) {
+        apply(delta);
+        return;
+    }
+    // Its parts without content refer to the configuration that this node had when it asked. If
+    // that has been replaced since, the peer's next packet starts another pull.
+    if (m_store.revision() == revision && delta.revision() > revision)
+        apply(m_store.difference(delta));
+}
+
 void ConfigTask::Impl::pull(const Address &address, const std::function<void(bool)> &done)
 {
     schema::ConfigPull request;
     request.set_revision(m_store.revision());
+    if (m_external) {
+        for (const auto hash : m_store.contentHashes())
+            request.add_held(hash);
+    }
     const auto number = ++m_exchangeNumber;
     const auto received = std::make_shared<std::optional<std::string>>();
     const auto alive = std::weak_ptr(m_alive);
     ExchangeHandler handler;
     handler.reply = [received](std::string reply) { *received = std::move(reply); };
     handler.data = [](std::string_view) {};
-    handler.ended = [this, alive, number, received, done](ErrorCode code) {
+    handler.ended = [this, alive, number, received, done,
+                     revision = request.revision()](ErrorCode code) {
         if (alive.expired())
             return;
         schema::ConfigDelta delta;
@@ -453,7 +524,7 @@
                 code == ErrorCode::Ok && *received && delta.ParseFromString(**received);
         const auto exchange = m_exchanges.extract(number);
         if (answered)
-            apply(delta);
+            onPulled(delta, revision);
         done(answered); // only starts a timer, so no channel is replaced in its own callback
     };
     m_exchanges[number] = m_peers.channel(address, TrafficClass::Control)
@@ -470,7 +541,10 @@
     schema::ConfigPull request;
     if (!request.ParseFromString(envelope))
         return {};
-    return m_store.deltaSince(request.revision()).SerializeAsString();
+    if (!m_external)
+        return m_store.deltaSince(request.revision()).SerializeAsString();
+    return m_store.deltaFor(request.revision(), {request.held().begin(), request.held().end()})
+            .SerializeAsString();
 }
 
 ConfigTask::ConfigTask(event_base *base, PlatformClient &platform, PeerPool &peers,
--- a/src/gate/gate_context.h
+++ b/src/gate/gate_context.h
@@ -3,6 +3,7 @@
 
 #include "berylspur/core/http_headers.h"
 #include "berylspur/core/metrics.h"
+#include "berylspur/customers/customer_table.h"
 #include "berylspur/gate/stop_admission.h"
 #include "berylspur/http/caller_request.h"
 #include "berylspur/idempotency/key_home.h"
@@ -48,17 +49,18 @@
 struct GateContext
 {
     GateContext(event_base *loop, const MemberTable &memberTable, PeerPool &pool,
-                const std::string &failureDomain, PickMode pickMode, HeaderNames callerHeaderNames,
-                std::string service)
-        : base(loop), members(memberTable), peers(pool), headerNames(std::move(callerHeaderNames)),
-          hostService(std::move(service)), picker(failureDomain, pickMode),
-          serviceViews(memberTable), random(seededRandom())
+                const CustomerTable &customerTable, const std::string &failureDomain,
+                PickMode pickMode, HeaderNames callerHeaderNames, std::string service)
+        : base(loop), members(memberTable), peers(pool), customers(customerTable),
+          headerNames(std::move(callerHeaderNames)), hostService(std::move(service)),
+          picker(failureDomain, pickMode), serviceViews(memberTable), random(seededRandom())
     {
     }
 
     event_base *base;
     const MemberTable &members;
     PeerPool &peers;
+    const CustomerTable &customers; ///< in force; requests need a key unless it is empty
     HeaderNames headerNames;
     std::string hostService; // service of the endpoint on this host; empty: unknown
     EndpointPicker picker;
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -117,16 +117,15 @@
     m_requestClass =
             route.request_class() == schema::CLASS_LONG ? RequestClass::Long : RequestClass::Short;
     m_maxAttempts = route.attempts();
-    m_priority = route.priority();
     m_latencyTargetMs = route.target_latency_ms();
     const Duration limit = std::chrono::milliseconds(route.deadline_ms());
     m_deadline = m_arrived + std::min(limit, time.value().value_or(limit));
-    m_customer = m_caller->header(config.customer_header());
     if (names.callerSetsIdAndDeadline)
         m_callerId = m_caller->header(names.requestId);
-    const auto parentRun = m_callerId.empty() ? ParentRun() : m_context.parentRun(m_callerId);
-    m_isNestedCall = parentRun.kind != ParentRun::Kind::None;
-    m_isCallOfRepeat = parentRun.kind == ParentRun::Kind::Repeat;
+    if (!identifyCustomer(config, route)) {
+        refuse(ErrorCode::RequestUnauthorized, hasKey() ? "unknown key" : "no key");
+        return false;
+    }
     const auto key = names.idempotencyKey.empty() ? std::string_view()
                                                   : m_caller->header(names.idempotencyKey);
     if (!m_idempotent && !key.empty())
@@ -134,6 +133,44 @@
     return true;
 }
 
+ParentRun GateRequest::parentRun() const
+{
+    if (m_callerId.empty())
+        return {};
+    // Endpoints have no keys, so a request with a key does not come from one.
+    return m_hasCustomers && hasKey() ? ParentRun() : m_context.parentRun(m_callerId);
+}
+
+bool GateRequest::hasKey() const
+{
+    return !m_caller->header(m_context.headerNames.customerKey).empty();
+}
+
+bool GateRequest::identifyCustomer(const schema::ServiceConfig &config, const schema::Route &route)
+{
+    m_hasCustomers = !m_context.customers.isEmpty();
+    const auto parent = parentRun();
+    m_isNestedCall = parent.kind != ParentRun::Kind::None;
+    m_isCallOfRepeat = parent.kind == ParentRun::Kind::Repeat;
+    m_priority = m_isNestedCall ? parent.priority : route.priority();
+    if (!m_hasCustomers) {
+        m_customer = m_caller->header(config.customer_header());
+        return true;
+    }
+    if (m_isNestedCall) {
+        m_customer = parent.customer;
+        return true;
+    }
+    const auto *customer =
+            m_context.customers.find(m_caller->header(m_context.headerNames.customerKey));
+    if (!customer)
+        return route.anonymous();
+    m_customer = customer->name();
+    if (customer->has_priority())
+        m_priority = customer->priority();
+    return true;
+}
+
 Result<std::optional<Duration>> GateRequest::callerTimeout() const
 {
     const auto &names = m_context.headerNames;
@@ -170,12 +207,19 @@
     const auto &names = m_context.headerNames;
     auto headers = forwardableHeaders(m_caller->headers());
     // The owner sets these headers itself.
-    std::erase_if(headers, [&names](const auto &header) {
-        for (const auto *own : {&names.deadlineMs, &names.targetEndpoint, &names.callerService}) {
-            if (!own->empty() && equalsIgnoreCase(header.first, *own))
-                return true;
-        }
-        return false;
+    std::vector<std::string_view> removed {names.deadlineMs, names.targetEndpoint,
+                                           names.callerService};
+    // With customers, the caller's key is secret and the customer is known from the key alone. The
+    // configuration may have changed while the request waited for earlier ones of its connection.
+    if (m_hasCustomers || !m_context.customers.isEmpty()) {
+        removed.insert(removed.end(), {names.customerKey, names.customer});
+        if (const auto *config = m_context.routes.service(m_service))
+            removed.push_back(config->customer_header());
+    }
+    std::erase_if(headers, [&removed](const auto &header) {
+        return std::any_of(removed.begin(), removed.end(), [&header](std::string_view name) {
+            return !name.empty() && equalsIgnoreCase(header.first, name);
+        });
     });
     return headers;
 }
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -56,6 +56,12 @@
     static constexpr Duration AskRetryDelay = std::chrono::milliseconds(100);
 
     bool matchRoute();
+    /// Determines the customer and the priority, and whether this is a nested call. Returns false
+    /// if the route requires a key and the request has none that is in force.
+    bool identifyCustomer(const schema::ServiceConfig &config, const schema::Route &route);
+    /// Run of which this request is a nested call, if it is one.
+    ParentRun parentRun() const;
+    bool hasKey() const;
     /// Continues begin() when the request may start: immediately, or once the earlier requests of
     /// its connection are answered.
     void admit();
@@ -143,6 +149,7 @@
     std::string m_routeKey;
     std::uint32_t m_priority = 0;
     std::uint32_t m_latencyTargetMs = 0; // 0: none
+    bool m_hasCustomers = false; // the configuration had customers when the request arrived
     std::string m_customer;
     std::string m_key; // key of the idempotency record; empty without Idempotency-Key
     HeaderList m_headers;
--- a/src/gate/gate_request_finish.cpp
+++ b/src/gate/gate_request_finish.cpp
@@ -27,6 +27,7 @@
     case ErrorCode::RequestBodyTooLarge:
     case ErrorCode::RequestHeadersTooLarge:
     case ErrorCode::RequestCodingNotSupported:
+    case ErrorCode::RequestUnauthorized:
         return statusOfInvalidRequest(code);
     case ErrorCode::NotRunCustomerLimit:
     case ErrorCode::NotRunConcurrencyLimit:
@@ -105,6 +106,10 @@
     if (status == StatusUnavailable || status == StatusTooManyRequests) {
         headers.emplace_back("Retry-After", retryAfterValue());
     }
+    // RFC 9110, 15.5.2 requires a challenge. No registered scheme fits a key in a header of its
+    // own.
+    if (code == ErrorCode::RequestUnauthorized)
+        headers.emplace_back("WWW-Authenticate", "ApiKey");
     headers.emplace_back("Content-Type", "text/plain");
     m_caller->respond(status, headers, std::string(errorMessage(code)) + "\n");
     complete();
--- a/src/gate/gate_task.cpp
+++ b/src/gate/gate_task.cpp
@@ -47,14 +47,15 @@
 {
 public:
     Impl(GateTask &task, event_base *base, const schema::NodeSettings &settings,
-         const MembershipTask &membership, PeerPool &peers, const HeaderNames &names)
+         const MembershipTask &membership, PeerPool &peers, const CustomerTable &customers,
+         const HeaderNames &names)
         : m_address(settings.addresses().caller()),
           m_maxOpenRequests(settings.limits().max_requests_in_flight()),
           m_retrySlack(settings.integration().retry_slack()),
           m_dividesRetryBurst(settings.integration().mode() != schema::INTEGRATION_NONE),
           m_withholdsRetryBurst(m_dividesRetryBurst && mayBeRestart(settings)),
           m_retryBurstFrom(BootClock::now() + retryWindow(settings)),
-          m_context(base, membership.table(), peers, settings.node().failure_domain(),
+          m_context(base, membership.table(), peers, customers, settings.node().failure_domain(),
                     settings.policy().pick() == schema::PICK_TWO_RANDOM ? PickMode::TwoRandom
                                                                         : PickMode::OwnerLoad,
                     names, settings.integration().service()),
@@ -301,8 +302,9 @@
 }
 
 GateTask::GateTask(event_base *base, const schema::NodeSettings &settings,
-                   const MembershipTask &membership, PeerPool &peers, const HeaderNames &names)
-    : m_impl(std::make_unique<Impl>(*this, base, settings, membership, peers, names))
+                   const MembershipTask &membership, PeerPool &peers,
+                   const CustomerTable &customers, const HeaderNames &names)
+    : m_impl(std::make_unique<Impl>(*this, base, settings, membership, peers, customers, names))
 {
 }
 
--- a/src/http/request_status.cpp
+++ b/src/http/request_status.cpp
@@ -7,6 +7,8 @@
 {
     constexpr std::uint32_t BadRequest = 400;
     switch (code) {
+    case ErrorCode::RequestUnauthorized:
+        return 401;
     case ErrorCode::RequestUnknownRoute:
         return 404;
     case ErrorCode::RequestMethodNotAllowed:
--- a/src/node/home_task.cpp
+++ b/src/node/home_task.cpp
@@ -57,9 +57,9 @@
 } // namespace
 
 HomeTask::HomeTask(event_base *base, MembershipTask &membership, PeerPool &peers,
-                   Duration keyRetention, bool grantsKeys)
-    : m_membership(membership), m_peers(peers), m_limits(limitsFor(keyRetention)),
-      m_grantsKeys(grantsKeys),
+                   const CustomerTable &customers, Duration keyRetention, bool grantsKeys)
+    : m_membership(membership), m_peers(peers), m_customers(customers),
+      m_limits(limitsFor(keyRetention)), m_grantsKeys(grantsKeys),
       m_keys(m_limits, BootClock::now(), false, membership.table().self().node()),
       m_timer(base, [this] { tick(); })
 {
--- a/src/node/home_task.h
+++ b/src/node/home_task.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "berylspur/core/timer.h"
+#include "berylspur/customers/customer_table.h"
 #include "berylspur/idempotency/key_home.h"
 #include "berylspur/limits/rate_limiter.h"
 #include "berylspur/membership/membership_task.h"
@@ -19,10 +20,10 @@
 class HomeTask
 {
 public:
-    /// \a grantsKeys: false if no request carries a key. The home then refuses claims, and its
-    /// quorum is not gossiped.
-    HomeTask(event_base *base, MembershipTask &membership, PeerPool &peers, Duration keyRetention,
-             bool grantsKeys = true);
+    /// \a customers: those in force, with their limits. \a grantsKeys: false if no request carries
+    /// a key. The home then refuses claims, and its quorum is not gossiped.
+    HomeTask(event_base *base, MembershipTask &membership, PeerPool &peers,
+             const CustomerTable &customers, Duration keyRetention, bool grantsKeys = true);
 
     /// Applies the services whose configuration \a changed.
     void configure(const std::vector<const schema::ServiceConfig *> &changed);
@@ -48,6 +49,7 @@
 
     MembershipTask &m_membership;
     PeerPool &m_peers;
+    const CustomerTable &m_customers;
     KeyHome::Limits m_limits;
     bool m_grantsKeys;
     KeyHome m_keys;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -8,6 +8,7 @@
 #include "berylspur/core/log.h"
 #include "berylspur/core/metrics.h"
 #include "berylspur/core/timer.h"
+#include "berylspur/customers/customer_table.h"
 #include "berylspur/gate/gate_task.h"
 #include "berylspur/membership/membership_task.h"
 #include "berylspur/node/planned_stop.h"
@@ -81,7 +82,8 @@
     void connectTasks();
     void addAdminPages();
     void handlePeerRequest(const std::shared_ptr<PeerRequest> &request);
-    void configurationChanged(const std::vector<const schema::ServiceConfig *> &changed);
+    void configurationChanged(const ConfigChange &changed);
+    void customersChanged(const std::vector<CustomerShardPtr> &shards);
     void updateHeldByFloor();
     /// Logs and stores a decision. \a isFinal: the request ends without the endpoint's response.
     void recordDecision(schema::DecisionRecord record, bool isFinal = false);
@@ -119,6 +121,7 @@
     PeerPool m_peers;
     MembershipTask m_membership;
     ConfigTask m_config;
+    CustomerTable m_customers; // read by gate and home
     OwnerTask m_owner;
     GateTask m_gate;
     HomeTask m_home;
@@ -144,8 +147,8 @@
       m_membership(m_base, m_settings, m_incarnation, m_platform, m_peers),
       m_config(m_base, m_platform, m_peers, m_membership, externalConfiguration()),
       m_owner(m_base, m_settings, m_incarnation, m_names),
-      m_gate(m_base, m_settings, m_membership, m_peers, m_names),
-      m_home(m_base, m_membership, m_peers,
+      m_gate(m_base, m_settings, m_membership, m_peers, m_customers, m_names),
+      m_home(m_base, m_membership, m_peers, m_customers,
              std::chrono::seconds(m_settings.limits().key_retention_s()), !isIntegrated()),
       m_records(m_base, m_decisions, m_platform), m_admin(m_base),
       m_newFleetCheckTimer(m_base, [this] { checkFleetIsNew(); }),
@@ -184,9 +187,8 @@
     m_gate.parentRun.connect([this](const std::string &id) { return m_owner.parentRun(id); });
     m_gate.nestedCallEnded.connect(
             [this](const NestedCallEnded &call) { m_owner.onNestedCallEnded(call); });
-    m_config.changed.connect([this](const std::vector<const schema::ServiceConfig *> &changed) {
-        configurationChanged(changed);
-    });
+    m_config.changed.connect(
+            [this](const ConfigChange &changed) { configurationChanged(changed); });
     m_membership.viewChanged.connect([this] {
         updateHeldByFloor();
         m_home.viewChanged();
@@ -312,13 +314,32 @@
     request->abort();
 }
 
-void Node::Impl::configurationChanged(const std::vector<const schema::ServiceConfig *> &changed)
+void Node::Impl::customersChanged(const std::vector<CustomerShardPtr> &shards)
+{
+    if (shards.empty())
+        return;
+    for (const auto &shard : shards)
+        m_customers.update(shard);
+    const auto revision = m_config.store().revision();
+    schema::DecisionRecord decision;
+    decision.set_kind(schema::DECISION_CONFIG);
+    decision.set_rule("customers in force");
+    decision.set_config_revision(revision);
+    recordDecision(decision);
+    log::info("customers-in-force", {{"shards-changed", shards.size()},
+                                     {"customers", m_customers.size()},
+                                     {"revision", revision}});
+}
+
+void Node::Impl::configurationChanged(const ConfigChange &changed)
 {
-    m_gate.configure(changed);
-    m_owner.configure(changed);
-    m_home.configure(changed);
+    // Customers first: with its first services the gate starts to serve requests.
+    customersChanged(changed.customerShards);
+    m_gate.configure(changed.services);
+    m_owner.configure(changed.services);
+    m_home.configure(changed.services);
     m_membership.setConfigRevision(m_config.store().revision());
-    for (const auto *config : changed) {
+    for (const auto *config : changed.services) {
         schema::DecisionRecord decision;
         decision.set_kind(schema::DECISION_CONFIG);
         decision.set_service(config->service());
@@ -570,7 +591,9 @@
               {"dropped", m_decisions.dropped()}}},
             {"configuration",
              {{"bytes", m_config.store().bytes()},
-              {"ignored-older", m_config.store().ignoredOlder()}}},
+              {"ignored-older", m_config.store().ignoredOlder()},
+              {"customers", m_customers.size()},
+              {"customer-keys", m_customers.keys()}}},
             {"platform-calls", m_platform.calls()}};
 }
 
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -57,6 +57,49 @@
     return store.deltaSince(0).SerializeAsString();
 }
 
+schema::Customer customer(const std::string &name, const std::vector<std::string> &keys)
+{
+    schema::Customer customer;
+    customer.set_name(name);
+    for (const auto &key : keys)
+        customer.add_keys(key);
+    return customer;
+}
+
+/// The complete configuration of \a revision: one service and customers, each with its only key.
+schema::ConfigDelta complete(std::uint64_t revision,
+                             const std::map<std::string, std::string> &customers)
+{
+    auto message = delta({service("scan", revision, false)});
+    message.mutable_services(0)->mutable_content()->clear_slots();
+    std::vector<schema::Customer> list;
+    for (const auto &[name, key] : customers)
+        list.push_back(customer(name, {key}));
+    for (const auto &shard : shardCustomers(std::move(list)))
+        *message.add_customer_shards() = shard;
+    return message;
+}
+
+/// Names and keys of all customers of \a store.
+std::map<std::string, std::string> customersOf(const ConfigStore &store)
+{
+    std::map<std::string, std::string> customers;
+    for (std::uint32_t number = 0; number < CustomerShards; ++number) {
+        const auto shard = store.findShard(number);
+        for (int i = 0; shard && i < shard->customers_size(); ++i)
+            customers[shard->customers(i).name()] = shard->customers(i).keys(0);
+    }
+    return customers;
+}
+
+/// Lets \a to pull from \a from, as nodes with an external configuration do.
+void pull(ConfigStore &to, const ConfigStore &from)
+{
+    const auto hashes = to.contentHashes();
+    const auto reply = from.deltaFor(to.revision(), {hashes.begin(), hashes.end()});
+    to.merge(reply.complete() ? to.difference(reply) : reply);
+}
+
 } // namespace
 
 // Guards against a configuration that is replaced by an older one that arrives late.
@@ -165,3 +208,77 @@
     // A service that is added again is a change even if its content is the same as before.
     BOOST_TEST(store.difference(complete(8, {{"a", 1}, {"b", 2}, {"c", 1}})).services_size() == 1);
 }
+
+// Guards against a change of one customer that replaces the shards of all customers, and against a
+// customer who stays although the configuration no longer has it. "a" and "b" are in two shards.
+BOOST_AUTO_TEST_CASE(difference_contains_only_changed_customer_shards)
+{
+    BOOST_REQUIRE(customerShard("a") != customerShard("b"));
+    ConfigStore store;
+    store.merge(store.difference(complete(3, {{"a", "k"}, {"b", "l"}})));
+    const auto moved = store.difference(complete(4, {{"a", "k"}, {"b", "m"}}));
+    BOOST_TEST(moved.services_size() == 0);
+    BOOST_REQUIRE(moved.customer_shards_size() == 1);
+    BOOST_TEST(moved.customer_shards(0).number() == customerShard("b"));
+    BOOST_TEST(store.merge(moved).customerShards.size() == 1U);
+    BOOST_TEST(store.findShard(customerShard("a"))->revision() == 3U);
+    BOOST_TEST(store.deltaSince(3).customer_shards_size() == 1);
+    const auto emptied = store.difference(complete(5, {{"a", "k"}}));
+    store.merge(emptied);
+    const auto shard = store.findShard(customerShard("b"));
+    BOOST_TEST(shard->revision() == 5U);
+    BOOST_TEST(shard->customers().empty());
+    // Older revisions do not bring the customer back; the delta carries the empty shard.
+    BOOST_TEST(store.merge(moved).empty());
+    BOOST_TEST(store.ignoredOlder() == 1U);
+    BOOST_TEST(store.deltaSince(4).customer_shards_size() == 1);
+    BOOST_TEST(store.difference(complete(6, {{"a", "k"}})).customer_shards_size() == 0);
+}
+
+namespace {
+
+/// Configurations that a peer reads from the store, after which a node with revision 2 pulls from
+/// it. Revision 2 has the customers a (key k) and b (key l).
+struct PullCase
+{
+    const char *guards; ///< failure that the case guards against
+    std::vector<schema::ConfigDelta> peerReads;
+};
+
+std::ostream &operator<<(std::ostream &out, const PullCase &sample)
+{
+    return out << sample.guards;
+}
+
+const std::map<std::string, std::string> AtFirst {{"a", "k"}};
+const std::map<std::string, std::string> AtTwo {{"a", "k"}, {"b", "l"}};
+const std::vector<PullCase> PullCases {
+        {"a change is lost although the peer had the revision",
+         {complete(2, AtTwo), complete(3, {{"a", "n"}})}},
+        {"a customer stays valid because a restarted peer never had it",
+         {complete(3, {{"a", "n"}})}},
+        {"a customer stays valid because the peer missed the revision that had it",
+         {complete(1, AtFirst), complete(3, AtFirst)}},
+        {"a moved key is not taken over", {complete(3, {{"a", "l"}, {"b", "k"}})}},
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE(pull_leaves_the_customers_of_the_peer, boost::unit_test::data::make(PullCases))
+{
+    ConfigStore peer;
+    for (const auto &read : sample.peerReads)
+        peer.merge(peer.difference(read));
+    ConfigStore node;
+    node.merge(node.difference(complete(2, AtTwo)));
+    pull(node, peer);
+    BOOST_TEST(node.revision() == 3U);
+    BOOST_TEST((customersOf(node) == customersOf(peer)));
+    BOOST_TEST(!node.find("scan")->deleted());
+    BOOST_TEST(node.find("scan")->content().name() == "scan");
+    // A node that is ahead keeps its configuration.
+    ConfigStore older;
+    older.merge(older.difference(complete(2, AtTwo)));
+    pull(node, older);
+    BOOST_TEST((customersOf(node) == customersOf(peer)));
+}
--- a/tests/process_fixture.cpp
+++ b/tests/process_fixture.cpp
@@ -408,7 +408,8 @@
     return {};
 }
 
-void Fleet::configure(std::uint32_t version, const std::string &extraRoute) const
+void Fleet::configure(std::uint32_t version, const std::string &extraRoute,
+                      const nlohmann::json &extraResources) const
 {
     std::ostringstream digits;
     digits << std::hex << std::setw(8) << std::setfill('0') << version;
@@ -435,6 +436,7 @@
     resources.push_back({{"typeUrl", "services"},
                          {"metadata", {{"name", "svc"}}},
                          {"spec", {{"healthPath", "/healthz"}}}});
+    resources.insert(resources.end(), extraResources.begin(), extraResources.end());
     const nlohmann::json object = {{"metadata", {{"name", "main"}}},
                                    {"spec", {{"version", digits.str()}, {"resources", resources}}}};
     const auto created = call(m_platformPort, "POST", "/v1/objects/config", {}, object.dump());
--- a/tests/process_fixture.h
+++ b/tests/process_fixture.h
@@ -155,8 +155,9 @@
     /// The execution log of the endpoints of \a node, in order.
     std::vector<RunEvent> events(int node) const;
     /// With onPlatform: writes the configuration with \a version to the platform. \a extraRoute is
-    /// the path prefix of an additional idempotent route.
-    void configure(std::uint32_t version, const std::string &extraRoute = {}) const;
+    /// the path prefix of an additional idempotent route, \a extraResources is added as it is.
+    void configure(std::uint32_t version, const std::string &extraRoute = {},
+                   const nlohmann::json &extraResources = nlohmann::json::array()) const;
     /// Contents of the log file of a node's process.
     std::string nodeLog(int i) const;
 
--- a/tests/standin/backend/endpoint_responses.cpp
+++ b/tests/standin/backend/endpoint_responses.cpp
@@ -70,6 +70,8 @@
                {"caller-service", m_protocol.callerService
                                           ? header(work.request, m_protocol.callerService)
                                           : std::string()},
+               {"customer", header(work.request, m_protocol.customer)},
+               {"customer-key", header(work.request, m_protocol.customerKey)},
                {"token", work.token}});
 }
 
--- a/tests/standin/endpoint_protocol.h
+++ b/tests/standin/endpoint_protocol.h
@@ -43,6 +43,8 @@
     const char *deadlineMs;
     const char *targetEndpoint;
     const char *callerService;
+    const char *customer;
+    const char *customerKey;
     const char *signature;
     const char *notExecuted;
     const char *endpointId;
@@ -85,6 +87,8 @@
                                        "Berylspur-Deadline-Ms",
                                        nullptr,
                                        nullptr,
+                                       "Berylspur-Customer",
+                                       "Berylspur-Key",
                                        nullptr,
                                        nullptr,
                                        nullptr,
@@ -100,6 +104,8 @@
                                             "X-Deadline-Ms",
                                             "X-Target-Instance",
                                             "X-Caller-Service",
+                                            "X-Tenant-Id",
+                                            "X-Key",
                                             "X-Server-Signature",
                                             "X-Not-Executed",
                                             "X-Instance-Id",
