Hold customers in a smaller table and measure it

Cause: at 64,000 customers with two keys each, configuration and table took 456 bytes per customer (29 MB of 32 MB for the whole control plane). Change: CustomerIndex keeps a hash and a pointer for each key and name instead of a map node with a view of the text; the text is compared in the customer itself. bench_routing has rows for customers. Ruled out: two std::unordered_map (456 bytes per customer, lookup 68 ns); no index of names, which would have to be searched in shards that need not be sorted.

--- a/benchmark/bench_routing.cpp
+++ b/benchmark/bench_routing.cpp
@@ -1,7 +1,10 @@
-// Cost per request of route matching, rotation, endpoint choice, rate limiting and key claims, and
+// Cost per request of route matching, rotation, endpoint choice, customer keys, rate limiting and
+// key claims, cost of a change of customers, and
 // memory per item, at the size expected in two years (section 1.4 of docs/design.md). Allocation
 // counts are checked against bounds; times are only reported.
 #include "bench_report.h"
+#include "berylspur/config/config_store.h"
+#include "berylspur/customers/customer_table.h"
 #include "berylspur/idempotency/key_home.h"
 #include "berylspur/limits/rate_limiter.h"
 #include "berylspur/routing/endpoint_picker.h"
@@ -279,6 +282,83 @@
                 rotationBytes + loadBytes});
 }
 
+constexpr std::size_t KeysPerCustomer = 2;
+
+std::string customerKey(std::size_t customer, std::size_t number)
+{
+    // As long as a UUID in text.
+    const auto digits = std::to_string(customer * KeysPerCustomer + number);
+    return "key-" + std::string(32 - digits.size(), '0') + digits;
+}
+
+/// All customers, of which one has \a rate.
+schema::ConfigDelta makeCustomers(std::uint64_t revision, std::uint32_t rate)
+{
+    std::vector<schema::Customer> customers(Customers);
+    for (std::size_t i = 0; i < Customers; ++i) {
+        customers[i].set_name("customer-" + std::to_string(i));
+        customers[i].set_rate(i == 0 ? rate : 100);
+        customers[i].set_burst(100);
+        for (std::size_t number = 0; number < KeysPerCustomer; ++number)
+            customers[i].add_keys(customerKey(i, number));
+    }
+    schema::ConfigDelta delta;
+    delta.set_revision(revision);
+    for (auto &shard : shardCustomers(std::move(customers))) {
+        shard.set_revision(revision);
+        *delta.add_customer_shards() = std::move(shard);
+    }
+    return delta;
+}
+
+void benchCustomers(bench::Report &report)
+{
+    constexpr double NanosecondsPerMs = 1e6;
+    ConfigStore store;
+    CustomerTable table;
+    const auto apply = [&](const schema::ConfigDelta &delta) {
+        for (const auto &shard : store.merge(delta).customerShards)
+            table.update(shard);
+    };
+    Cost all;
+    // The text of a delta is what a node receives; the parsed message is released.
+    const auto text = makeCustomers(1, 100).SerializeAsString();
+    const double bytes = bytesPerItem(Customers, [&] {
+        all = measure(1, [&](std::size_t) {
+            schema::ConfigDelta delta;
+            delta.ParseFromString(text);
+            apply(delta);
+        });
+    });
+    const auto changed = makeCustomers(2, 50);
+    schema::ConfigDelta difference;
+    const Cost compared = measure(1, [&](std::size_t) { difference = store.difference(changed); });
+    const Cost one = measure(1, [&](std::size_t) { apply(difference); });
+    std::vector<std::string> keys;
+    for (std::size_t i = 0; i < 4096; ++i)
+        keys.push_back(customerKey(i * 7919 % Customers, i % KeysPerCustomer));
+    const Cost lookup = measure(Requests, [&](std::size_t i) {
+        resultSink += table.find(keys[i % keys.size()])->rate();
+    });
+    const Cost scan = measure(100, [&](std::size_t i) {
+        for (const auto &shard : changed.customer_shards()) {
+            for (const auto &customer : shard.customers()) {
+                if (customer.keys(0) == keys[i] || customer.keys(1) == keys[i])
+                    resultSink += customer.rate();
+            }
+        }
+    });
+    addCost(report, "customer of a key among 128,000 (baseline: scan)", scan, lookup, 0);
+    report.add({"customers: apply all", "ms", 0, all.nanoseconds / NanosecondsPerMs});
+    report.add({"customers: compare all on a watcher, one changed", "ms", 0,
+                compared.nanoseconds / NanosecondsPerMs});
+    report.add({"customers: apply a change of one", "ms", 0, one.nanoseconds / NanosecondsPerMs});
+    report.add({"customers: delta of all", "KB", 0, static_cast<double>(text.size()) / 1000});
+    report.add({"customers: delta of a change of one", "KB", 0,
+                static_cast<double>(difference.ByteSizeLong()) / 1000});
+    report.add({"memory per customer with two keys: configuration and table", "bytes", 0, bytes});
+}
+
 void benchRates(bench::Report &report)
 {
     const RateLimit limit {100, 100};
@@ -381,6 +461,7 @@
     bench::Report report;
     benchRoutes(report);
     benchEndpoints(report);
+    benchCustomers(report);
     benchRates(report);
     benchKeys(report);
     return report.finish(json, check) + (resultSink == 0 ? 1 : 0);
--- a/src/customers/customer_table.cpp
+++ b/src/customers/customer_table.cpp
@@ -10,12 +10,18 @@
 
 namespace {
 
-const schema::Customer *
-findIn(const std::unordered_map<std::string_view, const schema::Customer *> &table,
-       std::string_view name)
+/// Mean number of entries of a bucket above which a table doubles its buckets.
+constexpr std::size_t MaxBucketSize = 8;
+
+bool holdsKey(const schema::Customer &customer, std::string_view key)
+{
+    const auto &keys = customer.keys();
+    return std::find(keys.begin(), keys.end(), key) != keys.end();
+}
+
+bool hasName(const schema::Customer &customer, std::string_view name)
 {
-    const auto found = table.find(name);
-    return found == table.end() ? nullptr : found->second;
+    return customer.name() == name;
 }
 
 } // namespace
@@ -43,6 +49,56 @@
     return result;
 }
 
+std::uint32_t CustomerIndex::hashOf(std::string_view text)
+{
+    return static_cast<std::uint32_t>(hash64(text));
+}
+
+const schema::Customer *CustomerIndex::find(std::string_view text) const
+{
+    const auto hash = hashOf(text);
+    for (const auto &entry : m_buckets[hash % m_buckets.size()]) {
+        if (entry.hash == hash && m_holds(*entry.customer, text))
+            return entry.customer;
+    }
+    return nullptr;
+}
+
+void CustomerIndex::add(std::string_view text, const schema::Customer &customer)
+{
+    const auto hash = hashOf(text);
+    for (auto &entry : bucket(hash)) {
+        if (entry.hash == hash && m_holds(*entry.customer, text)) {
+            entry.customer = &customer;
+            return;
+        }
+    }
+    if (m_size >= MaxBucketSize * m_buckets.size())
+        grow();
+    bucket(hash).push_back({hash, &customer});
+    ++m_size;
+}
+
+void CustomerIndex::remove(std::string_view text, const schema::Customer &customer)
+{
+    const auto hash = hashOf(text);
+    m_size -= std::erase_if(bucket(hash), [&](const Entry &entry) {
+        return entry.hash == hash && entry.customer == &customer;
+    });
+}
+
+void CustomerIndex::grow()
+{
+    std::vector<Bucket> previous(2 * m_buckets.size());
+    previous.swap(m_buckets);
+    for (const auto &entries : previous) {
+        for (const auto &entry : entries)
+            bucket(entry.hash).push_back(entry);
+    }
+}
+
+CustomerTable::CustomerTable() : m_byKey(holdsKey), m_byName(hasName) { }
+
 void CustomerTable::update(const schema::CustomerShard &shard)
 {
     update(std::make_shared<const schema::CustomerShard>(shard));
@@ -50,47 +106,32 @@
 
 void CustomerTable::update(CustomerShardPtr shard)
 {
-    // The previous shard is kept until none of its names and keys is referred to.
+    // The previous customers are kept until the indexes do not refer to them. Until then the
+    // customer of another shard may hold a key that moves to this one, and the reverse.
     auto &stored = m_shards[shard->number()];
     const auto previous = std::exchange(stored, std::move(shard));
     if (previous) {
         for (const auto &customer : previous->customers()) {
-            remove(m_byName, customer.name(), customer);
+            m_byName.remove(customer.name(), customer);
             for (const auto &key : customer.keys())
-                remove(m_byKey, key, customer);
+                m_byKey.remove(key, customer);
         }
     }
     for (const auto &customer : stored->customers()) {
-        add(m_byName, customer.name(), customer);
+        m_byName.add(customer.name(), customer);
         for (const auto &key : customer.keys())
-            add(m_byKey, key, customer);
+            m_byKey.add(key, customer);
     }
 }
 
-void CustomerTable::add(Index &index, std::string_view text, const schema::Customer &customer)
-{
-    // An existing entry is replaced with its view, which refers to text of another shard if a key
-    // moves to this customer before the update of that shard.
-    index.erase(text);
-    index.emplace(text, &customer);
-}
-
-void CustomerTable::remove(Index &index, std::string_view text, const schema::Customer &customer)
-{
-    // The key may have moved to a customer of another shard in the meantime.
-    const auto found = index.find(text);
-    if (found != index.end() && found->second == &customer)
-        index.erase(found);
-}
-
 const schema::Customer *CustomerTable::find(std::string_view key) const
 {
-    return findIn(m_byKey, key);
+    return m_byKey.find(key);
 }
 
 const schema::Customer *CustomerTable::byName(std::string_view name) const
 {
-    return findIn(m_byName, name);
+    return m_byName.find(name);
 }
 
 } // namespace berylspur
