--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -5,6 +5,7 @@
 #include "peer_reply.h"
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace berylspur {
@@ -207,14 +208,15 @@
     const auto &names = m_context.headerNames;
     auto headers = forwardableHeaders(m_caller->headers());
     // The owner sets these headers itself.
-    std::vector<std::string_view> removed {names.deadlineMs, names.targetEndpoint,
-                                           names.callerService};
+    std::array<std::string_view, 6> removed {names.deadlineMs, names.targetEndpoint,
+                                             names.callerService};
     // With customers, the caller's key is secret and the customer is known from the key alone. The
     // configuration may have changed while the request waited for earlier ones of its connection.
     if (m_hasCustomers || !m_context.customers.isEmpty()) {
-        removed.insert(removed.end(), {names.customerKey, names.customer});
+        removed[3] = names.customerKey;
+        removed[4] = names.customer;
         if (const auto *config = m_context.routes.service(m_service))
-            removed.push_back(config->customer_header());
+            removed[5] = config->customer_header();
     }
     std::erase_if(headers, [&removed](const auto &header) {
         return std::any_of(removed.begin(), removed.end(), [&header](std::string_view name) {
--- a/src/gate/gate_request_finish.cpp
+++ b/src/gate/gate_request_finish.cpp
@@ -153,6 +153,8 @@
     addFigure(record, "call", m_isNestedCall ? 1 : 0);
     if (kind == schema::DECISION_ANSWER)
         addFigure(record, "status", m_status);
+    if (code == ErrorCode::RequestUnauthorized)
+        addFigure(record, "key", hasKey() ? 1 : 0); // 0: missing, 1: unknown
     m_context.onDecision(std::move(record));
 }
 
