Check customer quotas at the gate, once per request of a caller

Cause: the rate of a customer over all services was not enforced.

Change: QuotaTask sends the requests of QuotaClient over the connections for short requests and resumes requests that wait for tokens; QuotaHomeTask handles them, with the bound of their transit time, and is closed at the start of a planned stop. GateRequest checks the quota after the per-service limit, not for nested calls. Nothing is sent while no customer has a rate.

Ruled out: requests on the control connections (one more connection per gate and home); renewals every 1 s (the connection would need a PING first, as it counts as live for 1 s after a round trip); 16 shards (twice the renewals).

--- a/include/berylspur/customers/customer_table.h
+++ b/include/berylspur/customers/customer_table.h
@@ -30,6 +30,8 @@
     const schema::Customer *byName(std::string_view name) const;
     /// True if there are no customers, so that requests need no key.
     bool isEmpty() const { return m_byName.empty(); }
+    /// True if a customer has a rate.
+    bool hasLimits() const { return m_limited > 0; }
     std::size_t size() const { return m_byName.size(); }
     std::size_t keys() const { return m_byKey.size(); }
 
@@ -39,6 +41,7 @@
     std::map<std::uint32_t, schema::CustomerShard> m_shards; ///< owns the names and keys below
     std::unordered_map<std::string_view, const schema::Customer *> m_byKey;
     std::unordered_map<std::string_view, const schema::Customer *> m_byName;
+    std::size_t m_limited = 0; ///< customers with a rate
 };
 
 } // namespace berylspur
--- a/include/berylspur/gate/gate_task.h
+++ b/include/berylspur/gate/gate_task.h
@@ -5,6 +5,7 @@
 #include "berylspur/core/http_headers.h"
 #include "berylspur/core/ids.h"
 #include "berylspur/core/result.h"
+#include "berylspur/customers/customer_table.h"
 #include "berylspur/gate/stop_admission.h"
 #include "berylspur/manifest.pb.h"
 #include "berylspur/membership/membership_task.h"
@@ -26,7 +27,8 @@
 {
 public:
     GateTask(event_base *base, const schema::NodeSettings &settings,
-             const MembershipTask &membership, PeerPool &peers, const HeaderNames &names = {});
+             const MembershipTask &membership, PeerPool &peers, const CustomerTable &customers,
+             const HeaderNames &names = {});
     ~GateTask();
     GateTask(const GateTask &) = delete;
     GateTask &operator=(const GateTask &) = delete;
--- a/include/berylspur/transport/peer.h
+++ b/include/berylspur/transport/peer.h
@@ -28,7 +28,17 @@
 /// completes. It fails if a PING stays unanswered for this long and no response bytes arrive.
 inline constexpr Duration LivenessTimeout = std::chrono::seconds(1);
 
-enum class PeerMethod { Hello, Dispatch, Ask, Claim, Quota, Sync, Config, KeyHandover };
+enum class PeerMethod {
+    Hello,
+    Dispatch,
+    Ask,
+    Claim,
+    Quota,
+    Sync,
+    Config,
+    KeyHandover,
+    CustomerQuota
+};
 
 /// Identity that a node presents in /hello.
 struct PeerIdentity
--- a/src/customers/customer_table.cpp
+++ b/src/customers/customer_table.cpp
@@ -29,6 +29,7 @@
     stored = shard;
     for (const auto &customer : stored.customers()) {
         m_byName[customer.name()] = &customer;
+        m_limited += customer.rate() > 0 ? 1 : 0;
         for (const auto &key : customer.keys())
             m_byKey[key] = &customer;
     }
@@ -38,6 +39,7 @@
 {
     for (const auto &customer : shard.customers()) {
         m_byName.erase(customer.name());
+        m_limited -= customer.rate() > 0 ? 1 : 0;
         for (const auto &key : customer.keys()) {
             // The key may have moved to a customer of another shard in the meantime.
             const auto found = m_byKey.find(key);
--- a/src/gate/gate_context.h
+++ b/src/gate/gate_context.h
@@ -3,6 +3,7 @@
 
 #include "berylspur/core/http_headers.h"
 #include "berylspur/core/metrics.h"
+#include "berylspur/customers/customer_table.h"
 #include "berylspur/gate/stop_admission.h"
 #include "berylspur/http/caller_request.h"
 #include "berylspur/idempotency/key_home.h"
@@ -17,6 +18,7 @@
 #include "berylspur/routing/retry_budget.h"
 #include "berylspur/routing/route_table.h"
 #include "berylspur/transport/peer_pool.h"
+#include "quota_task.h"
 #include "service_view.h"
 
 #include <event2/event.h>
@@ -48,17 +50,19 @@
 struct GateContext
 {
     GateContext(event_base *loop, const MemberTable &memberTable, PeerPool &pool,
-                const std::string &failureDomain, PickMode pickMode, HeaderNames callerHeaderNames,
-                std::string service)
-        : base(loop), members(memberTable), peers(pool), headerNames(std::move(callerHeaderNames)),
-          hostService(std::move(service)), picker(failureDomain, pickMode),
-          serviceViews(memberTable), random(seededRandom())
+                const CustomerTable &customerTable, const std::string &failureDomain,
+                PickMode pickMode, HeaderNames callerHeaderNames, std::string service)
+        : base(loop), members(memberTable), peers(pool), customers(customerTable),
+          headerNames(std::move(callerHeaderNames)), hostService(std::move(service)),
+          picker(failureDomain, pickMode), serviceViews(memberTable), random(seededRandom()),
+          quota(loop, memberTable, pool, customerTable)
     {
     }
 
     event_base *base;
     const MemberTable &members;
     PeerPool &peers;
+    const CustomerTable &customers;
     HeaderNames headerNames;
     std::string hostService; // service of the endpoint on this host; empty: unknown
     EndpointPicker picker;
@@ -66,6 +70,7 @@
     Random random;
     RouteTable routes;
     PathHealth pathHealth;
+    QuotaTask quota;
     RateLimiterClient rateLimiter;
     // Requests that wait for a rate-limit lease of their customer, by rateKey().
     std::unordered_map<std::string, std::vector<std::weak_ptr<GateRequest>>> leaseWaiters;
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -34,6 +34,7 @@
       m_askTimer(context.base, [this] { ask(m_askId, m_askNode, m_askIncarnation); }),
       m_placementTimer(context.base, [this] { startAttempt(); }),
       m_silenceTimer(context.base, [this] { onSilence(); }),
+      m_quotaTimer(context.base, [this] { onQuotaTimeout(); }),
       m_id(RequestId::generate(context.random)), m_arrived(m_caller->arrival())
 {
     m_caller->onClosed([this] { onCallerDisconnect(); });
@@ -94,6 +95,12 @@
     finishNotRun(code);
 }
 
+void GateRequest::refuseByRule(ErrorCode code, const std::string &rule)
+{
+    m_refusalRule = rule;
+    refuse(code);
+}
+
 bool GateRequest::matchRoute()
 {
     const auto match = m_context.routes.match(m_caller->method(), m_caller->header("Host"),
@@ -190,7 +197,7 @@
     }
     const auto limit = rateLimitFor(*config, m_customer);
     if (limit.rate == 0) {
-        startAttempt();
+        checkQuota();
         return;
     }
     const auto key = rateKey(m_service, m_customer);
@@ -202,7 +209,7 @@
     if (decision.pending)
         return;
     if (decision.verdict == RateLimiterClient::Verdict::Admit) {
-        startAttempt();
+        checkQuota();
         return;
     }
     m_retryAfter = decision.retryAfter;
@@ -215,6 +222,43 @@
         checkRateLimit(true);
 }
 
+void GateRequest::checkQuota()
+{
+    const auto *customer = m_customer.empty() ? nullptr : m_context.customers.byName(m_customer);
+    // A nested call is part of a request that was counted when it arrived.
+    if (m_isNestedCall || !customer || customer->rate() == 0) {
+        startAttempt();
+        return;
+    }
+    const auto decision = m_context.quota.request(
+            *customer, m_quotaTicket,
+            [this](const QuotaTask::Decision &result) { applyQuota(result); });
+    if (decision.verdict != QuotaTask::Verdict::Wait)
+        applyQuota(decision);
+    else if (m_quotaTicket.isWaiting())
+        m_quotaTimer.start(std::max(m_deadline - BootClock::now(), Duration::zero())
+                           / QuotaWaitShare);
+}
+
+void GateRequest::applyQuota(const QuotaTask::Decision &decision)
+{
+    m_quotaTimer.stop();
+    if (m_isComplete)
+        return;
+    if (decision.verdict == QuotaTask::Verdict::Admit) {
+        startAttempt();
+        return;
+    }
+    m_retryAfter = decision.retryAfter;
+    refuseByRule(ErrorCode::NotRunCustomerLimit, "customer quota");
+}
+
+void GateRequest::onQuotaTimeout()
+{
+    m_context.quota.giveUp(m_quotaTicket);
+    refuseByRule(ErrorCode::NotRunCustomerLimit, "customer quota, no reply of its home");
+}
+
 void GateRequest::requestLease(const std::string &key, const RateLimit &limit)
 {
     const auto renewal = m_context.rateLimiter.beginRenewal(key, limit);
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -27,6 +27,8 @@
     void begin();
     /// Responds immediately with \a code and the outcome "not run".
     void refuse(ErrorCode code, const std::string &detail = {});
+    /// Same, with the \a rule of the decision record.
+    void refuseByRule(ErrorCode code, const std::string &rule);
     /// Responds immediately because the process is about to exit: outcome "unknown" if the request
     /// was sent to an owner, otherwise "not run". Does nothing if the response has started.
     void finishForShutdown();
@@ -50,6 +52,8 @@
     static constexpr int MaxOverloadRefusals = 4;
     // Wait after the deadline for a refusal in transit, which proves "not run".
     static constexpr Duration DeadlineGrace = std::chrono::milliseconds(300);
+    // A request waits for a token for at most this part of the time left.
+    static constexpr int QuotaWaitShare = 4;
     static constexpr int MaxClaims = 5;
     static constexpr std::uint32_t FirstServerErrorStatus = 500;
     static constexpr Duration ClaimRetryDelay = std::chrono::milliseconds(100);
@@ -65,6 +69,10 @@
     HeaderList forwardedHeaders() const;
     void checkRateLimit(bool isRecheck);
     void requestLease(const std::string &key, const RateLimit &limit);
+    /// Checks the customer's quota over the whole fleet.
+    void checkQuota();
+    void applyQuota(const QuotaTask::Decision &decision);
+    void onQuotaTimeout();
 
     void startAttempt();
     bool chooseEndpoint();
@@ -135,6 +143,7 @@
     Timer m_askTimer;
     Timer m_placementTimer;
     Timer m_silenceTimer;
+    Timer m_quotaTimer;
     RequestId m_id; // the same for all attempts
     TimePoint m_arrived;
     TimePoint m_deadline;
@@ -144,6 +153,7 @@
     std::uint32_t m_priority = 0;
     std::uint32_t m_latencyTargetMs = 0; // 0: none
     std::string m_customer;
+    QuotaTask::Ticket m_quotaTicket; // while the request waits for a token of its customer
     std::string m_key; // key of the idempotency record; empty without Idempotency-Key
     HeaderList m_headers;
     std::string m_body;
@@ -170,6 +180,7 @@
     // Refusals because of overload since the request arrived or since the last placement retry.
     int m_overloadRefusals = 0;
     Duration m_retryAfter {};
+    std::string m_refusalRule; // of the decision record; empty: the name of the code
 
     std::string m_endpoint;
     std::string m_node;
--- a/src/gate/gate_request_finish.cpp
+++ b/src/gate/gate_request_finish.cpp
@@ -79,7 +79,8 @@
     }
     releaseKey();
     ++m_context.counters.notRun;
-    record(schema::DECISION_REFUSE, std::string(errorName(code)), code);
+    record(schema::DECISION_REFUSE,
+           m_refusalRule.empty() ? std::string(errorName(code)) : m_refusalRule, code);
     respondFailure(httpStatusFor(code), code, NotRunOutcome);
 }
 
@@ -146,6 +147,8 @@
     addFigure(record, "attempts", m_failedAttempts);
     addFigure(record, "age-ms", static_cast<double>(age().count()) / 1000.0);
     addFigure(record, "call", m_isNestedCall ? 1 : 0);
+    if (code == ErrorCode::NotRunCustomerLimit)
+        addFigure(record, "retry-after-ms", static_cast<double>(toMs(m_retryAfter)));
     if (kind == schema::DECISION_ANSWER)
         addFigure(record, "status", m_status);
     m_context.onDecision(std::move(record));
@@ -171,6 +174,8 @@
     m_askTimer.stop();
     m_placementTimer.stop();
     m_silenceTimer.stop();
+    m_quotaTimer.stop();
+    m_quotaTicket.release();
     dropSilentAttempt();
     endAttempt();
     if (m_exchange)
--- a/src/gate/gate_task.cpp
+++ b/src/gate/gate_task.cpp
@@ -47,14 +47,15 @@
 {
 public:
     Impl(GateTask &task, event_base *base, const schema::NodeSettings &settings,
-         const MembershipTask &membership, PeerPool &peers, const HeaderNames &names)
+         const MembershipTask &membership, PeerPool &peers, const CustomerTable &customers,
+         const HeaderNames &names)
         : m_address(settings.addresses().caller()),
           m_maxOpenRequests(settings.limits().max_requests_in_flight()),
           m_retrySlack(settings.integration().retry_slack()),
           m_dividesRetryBurst(settings.integration().mode() != schema::INTEGRATION_NONE),
           m_withholdsRetryBurst(m_dividesRetryBurst && mayBeRestart(settings)),
           m_retryBurstFrom(BootClock::now() + retryWindow(settings)),
-          m_context(base, membership.table(), peers, settings.node().failure_domain(),
+          m_context(base, membership.table(), peers, customers, settings.node().failure_domain(),
                     settings.policy().pick() == schema::PICK_TWO_RANDOM ? PickMode::TwoRandom
                                                                         : PickMode::OwnerLoad,
                     names, settings.integration().service()),
@@ -266,6 +267,7 @@
             {"services", services},
             {"routes", m_context.routes.routes()},
             {"customers-with-lease", m_context.rateLimiter.size()},
+            {"quota", m_context.quota.dump()},
             {"peer-connections", m_context.peers.size()},
             {"answered", counters.answered},
             {"not-run", counters.notRun},
@@ -295,14 +297,17 @@
                                  "code=\"" + std::string(errorName(code)) + "\"",
                                  static_cast<double>(count));
     }
+    if (m_context.customers.hasLimits())
+        text += m_context.quota.metrics();
     text += counters.latency[0].prometheus("berylspur_gate_seconds", "class=\"short\"");
     text += counters.latency[1].prometheus("berylspur_gate_seconds", "class=\"long\"");
     return text;
 }
 
 GateTask::GateTask(event_base *base, const schema::NodeSettings &settings,
-                   const MembershipTask &membership, PeerPool &peers, const HeaderNames &names)
-    : m_impl(std::make_unique<Impl>(*this, base, settings, membership, peers, names))
+                   const MembershipTask &membership, PeerPool &peers,
+                   const CustomerTable &customers, const HeaderNames &names)
+    : m_impl(std::make_unique<Impl>(*this, base, settings, membership, peers, customers, names))
 {
 }
 
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -24,6 +24,7 @@
 #include "platform/header_names.h"
 #include "platform/heartbeat_server.h"
 #include "platform/platform_client.h"
+#include "quota_home_task.h"
 
 #include <algorithm>
 #include <cmath>
@@ -120,8 +121,10 @@
     MembershipTask m_membership;
     ConfigTask m_config;
     OwnerTask m_owner;
+    CustomerTable m_customers;
     GateTask m_gate;
     HomeTask m_home;
+    QuotaHomeTask m_quotaHome;
     RecordTask m_records;
     AdminServer m_admin;
     std::unique_ptr<platform::HeartbeatServer> m_heartbeatServer;
@@ -144,9 +147,11 @@
       m_membership(m_base, m_settings, m_incarnation, m_platform, m_peers),
       m_config(m_base, m_platform, m_peers, m_membership, externalConfiguration()),
       m_owner(m_base, m_settings, m_incarnation, m_names),
-      m_gate(m_base, m_settings, m_membership, m_peers, m_names),
+      m_gate(m_base, m_settings, m_membership, m_peers, m_customers, m_names),
       m_home(m_base, m_membership, m_peers,
              std::chrono::seconds(m_settings.limits().key_retention_s()), !isIntegrated()),
+      m_quotaHome(m_base, m_membership.table(), m_customers,
+                  m_settings.integration().quota_slack() / 2),
       m_records(m_base, m_decisions, m_platform), m_admin(m_base),
       m_newFleetCheckTimer(m_base, [this] { checkFleetIsNew(); }),
       m_settingsTimer(m_base, [this] { checkSettingsFile(); }),
@@ -297,6 +302,9 @@
     case PeerMethod::Quota:
         m_home.handleQuota(request);
         return;
+    case PeerMethod::CustomerQuota:
+        m_quotaHome.handle(request);
+        return;
     case PeerMethod::KeyHandover:
         m_home.handleKeyHandover(request);
         return;
@@ -444,6 +452,7 @@
     log::info("stop-began", {{"gate", m_gate.openRequests()}, {"owner", m_owner.openRequests()}});
     m_stop.emplace(stopTimes(), BootClock::now());
     m_owner.stop();
+    m_quotaHome.close();
     pollStop();
 }
 
@@ -564,6 +573,7 @@
             {"owner", m_owner.dump()},
             {"gate", m_gate.dump()},
             {"home", m_home.dump()},
+            {"quota-home", m_quotaHome.dump()},
             {"decision-log",
              {{"records", m_decisions.size()},
               {"bytes", m_decisions.bytes()},
@@ -591,6 +601,7 @@
         return AdminServer::Page {
                 "text/plain; version=0.0.4",
                 m_gate.metrics() + m_owner.metrics() + m_membership.metrics()
+                        + m_quotaHome.metrics()
                         + prometheusSample("berylspur_platform_calls_total", "",
                                            static_cast<double>(m_platform.calls()))};
     });
--- a/src/transport/peer_names.h
+++ b/src/transport/peer_names.h
@@ -6,7 +6,7 @@
 
 namespace berylspur {
 
-inline constexpr EnumTable<PeerMethod, 8> PeerMethodPaths {{
+inline constexpr EnumTable<PeerMethod, 9> PeerMethodPaths {{
         {PeerMethod::Hello, "/hello"},
         {PeerMethod::Dispatch, "/dispatch"},
         {PeerMethod::Ask, "/ask"},
@@ -15,6 +15,7 @@
         {PeerMethod::Sync, "/sync"},
         {PeerMethod::Config, "/config"},
         {PeerMethod::KeyHandover, "/key-handover"},
+        {PeerMethod::CustomerQuota, "/customer-quota"},
 }};
 
 } // namespace berylspur
--- a/tests/quota_test.cpp
+++ b/tests/quota_test.cpp
@@ -96,6 +96,51 @@
     }
 }
 
+constexpr std::uint32_t AllShards = (1U << QuotaShards) - 1;
+
+schema::CustomerQuotaRequest vote(std::uint64_t sequence, std::uint32_t fleetSize)
+{
+    schema::CustomerQuotaRequest request;
+    request.set_sequence(sequence);
+    request.set_fleet_size(fleetSize);
+    request.set_votes(AllShards);
+    return request;
+}
+
+/// Request for tokens of a customer with the limit 100/s and a burst of 90, without a vote.
+schema::CustomerQuotaRequest ask(std::uint64_t sequence, std::uint32_t wanted)
+{
+    schema::CustomerQuotaRequest request;
+    request.set_sequence(sequence);
+    request.set_fleet_size(2);
+    auto *entry = request.add_entries();
+    entry->set_customer("customer");
+    entry->set_wanted(wanted);
+    entry->set_rate(100);
+    entry->set_burst(90);
+    return request;
+}
+
+/// A home in a fleet of two nodes, with a bucket of at most 100 tokens.
+struct HomeFixture
+{
+    HomeFixture() { home.setFleetSize(2, Start); }
+    schema::CustomerQuotaReply handle(const std::string &voter,
+                                      const schema::CustomerQuotaRequest &request, Duration after,
+                                      Duration age = {})
+    {
+        const auto unknown = [](const std::string &) { return std::optional<RateLimit>(); };
+        return home.handle(voter, 1, request, age, unknown, Start + after);
+    }
+    std::uint32_t granted(const std::string &voter, std::uint64_t sequence, Duration after)
+    {
+        const auto reply = handle(voter, ask(sequence, 1000), after);
+        return reply.entries_size() == 1 ? reply.entries(0).granted() : 0;
+    }
+
+    QuotaHome home {10, Start};
+};
+
 QuotaSetup calm(std::uint32_t rate, std::uint32_t burst, double load, double skew)
 {
     QuotaSetup setup;
@@ -226,3 +271,114 @@
     BOOST_TEST(fleet.totals(0).admitted > 1500U);
     BOOST_TEST(fleet.totals(0).refused <= 0.01 * 2000);
 }
+
+// Guards against a home whose bucket holds tokens when its first votes, or further ones, arrive.
+BOOST_AUTO_TEST_CASE(votes_bring_no_tokens)
+{
+    HomeFixture fixture;
+    BOOST_TEST(fixture.granted("c", 1, 0s) == 0U);
+    fixture.handle("a", vote(1, 2), 10s);
+    BOOST_TEST(fixture.granted("c", 2, 10100ms) == 5U); // half of the rate
+    fixture.handle("a", vote(2, 2), 11s);
+    fixture.handle("a", vote(3, 2), 12s);
+    fixture.handle("b", vote(1, 2), 12s); // the half bucket is full
+    BOOST_TEST(fixture.granted("c", 3, 12s) == 50U);
+    BOOST_TEST(fixture.granted("c", 4, 12100ms) == 10U);
+
+    HomeFixture unused; // without a request of the customer before the votes
+    unused.handle("a", vote(1, 2), 0s);
+    unused.handle("b", vote(1, 2), 0s);
+    BOOST_TEST(unused.granted("c", 1, 100ms) == 10U);
+}
+
+// Guards against a bucket that keeps the size of votes that have ended, and against votes that fill
+// it after their end.
+BOOST_AUTO_TEST_CASE(bucket_shrinks_with_its_votes)
+{
+    HomeFixture fixture;
+    fixture.handle("a", vote(1, 2), 0s);
+    fixture.handle("b", vote(1, 2), 0s);
+    fixture.handle("a", vote(2, 2), 1500ms);
+    BOOST_TEST(fixture.granted("c", 1, 3s) == 50U);
+    fixture.handle("a", vote(3, 2), 3s);
+    BOOST_TEST(fixture.granted("c", 2, 10s) == 0U);
+    fixture.handle("a", vote(4, 2), 10s);
+    fixture.handle("b", vote(2, 9), 10s); // knows a larger fleet
+    BOOST_TEST(fixture.home.shards(Start + 10s)[0].share == 2.0 / 9);
+}
+
+// Guards against late and doubled messages that vote or take tokens again.
+BOOST_AUTO_TEST_CASE(late_and_doubled_requests_have_no_effect)
+{
+    HomeFixture fixture;
+    BOOST_TEST(fixture.handle("a", vote(1, 2), 0s, 1001ms).dropped());
+    BOOST_TEST(!fixture.handle("a", vote(2, 2), 0s, 1s).dropped());
+    BOOST_TEST(fixture.handle("a", vote(2, 2), 100ms).dropped());
+    BOOST_TEST(fixture.handle("a", vote(1, 2), 100ms).dropped());
+    // The vote counts from the time at which it was composed.
+    BOOST_TEST(fixture.home.shards(Start + 999ms)[0].votes == 1U);
+    BOOST_TEST(fixture.home.shards(Start + 1s)[0].votes == 0U);
+}
+
+// Guards against returned tokens that get a new term (docs/proofs.md), or that are granted twice.
+BOOST_AUTO_TEST_CASE(returned_tokens_keep_their_expiry)
+{
+    HomeFixture fixture;
+    fixture.handle("a", vote(1, 2), 0s);
+    BOOST_TEST(fixture.granted("a", 2, 1s) == 50U);
+    auto back = ask(3, 0);
+    back.mutable_entries(0)->set_returned(40);
+    back.mutable_entries(0)->set_returned_term_ms(300);
+    fixture.handle("a", back, 1s);
+    const auto reply = fixture.handle("b", ask(1, 30), 1100ms);
+    BOOST_TEST(reply.entries(0).granted() == 30U);
+    BOOST_TEST(reply.entries(0).term_ms() == 200U);
+    BOOST_TEST(fixture.granted("b", 2, 1100ms) == 10U + 5U); // 5: filled since
+    fixture.handle("a", back, 1100ms);
+    BOOST_TEST(fixture.granted("b", 3, 1100ms) == 0U);
+}
+
+// Guards against tokens that are spent after their lease, counted from the composition of the
+// request, and against a second vote while the first may still count.
+BOOST_AUTO_TEST_CASE(gate_counts_terms_from_its_request)
+{
+    const RateLimit limit {100, 90};
+    QuotaClient client(Start - QuotaVoteTerm);
+    client.setNodes({"a", "b"}, 2);
+    BOOST_TEST((client.request("customer", limit, Start).verdict == QuotaClient::Verdict::Wait));
+    const auto sent = client.poll(Start);
+    const auto asked = std::find_if(sent.begin(), sent.end(), [](const auto &outgoing) {
+        return outgoing.request.entries_size() == 1;
+    });
+    BOOST_REQUIRE((asked != sent.end()));
+    const auto shard = 1U << quotaShard("customer");
+    BOOST_TEST((asked->request.votes() & shard) == shard);
+    for (const auto &outgoing : sent) {
+        if (outgoing.home != asked->home)
+            client.onReply(outgoing.home, outgoing.request.sequence(), {}, Start);
+    }
+    schema::CustomerQuotaReply reply;
+    auto *entry = reply.add_entries();
+    entry->set_granted(3);
+    entry->set_term_ms(500);
+    client.onReply(asked->home, asked->request.sequence(), reply, Start + 400ms);
+    const auto verdict = [&](Duration after) {
+        return client.request("customer", limit, Start + after).verdict;
+    };
+    BOOST_TEST((verdict(400ms) == QuotaClient::Verdict::Admit));
+    BOOST_TEST((verdict(499ms) == QuotaClient::Verdict::Admit));
+    BOOST_TEST((verdict(500ms) == QuotaClient::Verdict::Wait));
+
+    client.setNodes({asked->home == "a" ? "b" : "a"}, 2); // the home is gone
+    const auto votes = [&](Duration after) {
+        std::uint32_t given = 0;
+        for (const auto &outgoing : client.poll(Start + after)) {
+            given |= outgoing.request.votes();
+            client.onReply(outgoing.home, outgoing.request.sequence(), {}, Start + after);
+        }
+        return given & shard;
+    };
+    BOOST_TEST(votes(600ms) == 0U);
+    BOOST_TEST(votes(1999ms) == 0U);
+    BOOST_TEST(votes(2s) == shard);
+}
