--- a/include/berylspur/customers/customer_table.h
+++ b/include/berylspur/customers/customer_table.h
@@ -78,6 +78,8 @@
     const schema::Customer *byName(std::string_view name) const;
     /// True if there are no customers, so that requests need no key.
     bool isEmpty() const { return m_byName.size() == 0; }
+    /// True if a customer has a rate.
+    bool hasLimits() const { return m_limited > 0; }
     std::size_t size() const { return m_byName.size(); }
     std::size_t keys() const { return m_byKey.size(); }
 
@@ -85,6 +87,7 @@
     std::map<std::uint32_t, CustomerShardPtr> m_shards; ///< own the customers below
     CustomerIndex m_byKey;
     CustomerIndex m_byName;
+    std::size_t m_limited = 0; ///< customers with a rate
 };
 
 } // namespace berylspur
--- a/src/customers/customer_table.cpp
+++ b/src/customers/customer_table.cpp
@@ -113,12 +113,14 @@
     if (previous) {
         for (const auto &customer : previous->customers()) {
             m_byName.remove(customer.name(), customer);
+            m_limited -= customer.rate() > 0 ? 1 : 0;
             for (const auto &key : customer.keys())
                 m_byKey.remove(key, customer);
         }
     }
     for (const auto &customer : stored->customers()) {
         m_byName.add(customer.name(), customer);
+        m_limited += customer.rate() > 0 ? 1 : 0;
         for (const auto &key : customer.keys())
             m_byKey.add(key, customer);
     }
--- a/src/gate/gate_context.h
+++ b/src/gate/gate_context.h
@@ -18,6 +18,7 @@
 #include "berylspur/routing/retry_budget.h"
 #include "berylspur/routing/route_table.h"
 #include "berylspur/transport/peer_pool.h"
+#include "quota_task.h"
 #include "service_view.h"
 
 #include <event2/event.h>
@@ -53,7 +54,8 @@
                 PickMode pickMode, HeaderNames callerHeaderNames, std::string service)
         : base(loop), members(memberTable), peers(pool), customers(customerTable),
           headerNames(std::move(callerHeaderNames)), hostService(std::move(service)),
-          picker(failureDomain, pickMode), serviceViews(memberTable), random(seededRandom())
+          picker(failureDomain, pickMode), serviceViews(memberTable), random(seededRandom()),
+          quota(loop, memberTable, pool, customerTable)
     {
     }
 
@@ -68,6 +70,7 @@
     Random random;
     RouteTable routes;
     PathHealth pathHealth;
+    QuotaTask quota;
     RateLimiterClient rateLimiter;
     // Requests that wait for a rate-limit lease of their customer, by rateKey().
     std::unordered_map<std::string, std::vector<std::weak_ptr<GateRequest>>> leaseWaiters;
--- a/src/gate/gate_task.cpp
+++ b/src/gate/gate_task.cpp
@@ -267,6 +267,7 @@
             {"services", services},
             {"routes", m_context.routes.routes()},
             {"customers-with-lease", m_context.rateLimiter.size()},
+            {"quota", m_context.quota.dump()},
             {"peer-connections", m_context.peers.size()},
             {"answered", counters.answered},
             {"not-run", counters.notRun},
@@ -296,6 +297,8 @@
                                  "code=\"" + std::string(errorName(code)) + "\"",
                                  static_cast<double>(count));
     }
+    if (m_context.customers.hasLimits())
+        text += m_context.quota.metrics();
     text += counters.latency[0].prometheus("berylspur_gate_seconds", "class=\"short\"");
     text += counters.latency[1].prometheus("berylspur_gate_seconds", "class=\"long\"");
     return text;
--- a/src/transport/peer_names.h
+++ b/src/transport/peer_names.h
@@ -6,7 +6,7 @@
 
 namespace berylspur {
 
-inline constexpr EnumTable<PeerMethod, 9> PeerMethodPaths {{
+inline constexpr EnumTable<PeerMethod, 10> PeerMethodPaths {{
         {PeerMethod::Hello, "/hello"},
         {PeerMethod::Dispatch, "/dispatch"},
         {PeerMethod::Offer, "/offer"},
@@ -16,6 +16,7 @@
         {PeerMethod::Sync, "/sync"},
         {PeerMethod::Config, "/config"},
         {PeerMethod::KeyHandover, "/key-handover"},
+        {PeerMethod::CustomerQuota, "/customer-quota"},
 }};
 
 } // namespace berylspur
