Admit parents by the room for their calls

Cause: gates admitted requests regardless of the room at the services that their runs call. Now that calls have the rank of their parent, the calls of less urgent requests wait behind urgent ones, and their parents hold slots meanwhile.

Change: the owner counts the nested calls of its host's runs by route and service (CallStatistics) and reports them with its load; replies for routes without calls are unchanged. ParentAdmission at the gate refuses parents with NotRunCalledService if the wait at a called service does not fit their deadline, and admits a share of them, by rank, while the service refuses more than a quarter of the calls or lets them wait for 2.5 times their usual time. At least a quarter is admitted, so that the gate learns of a recovery. With one rank in the route table, or without a report in the last second, all parents are admitted. A waiting call is late after an eighth of its time instead of a half, and a rank that is behind is not refused for the wait of more urgent ones. The owner counts started, refused and displaced requests by rank, and decision records carry the rank.

--- a/include/berylspur/admission/rank_shares.h
+++ b/include/berylspur/admission/rank_shares.h
@@ -32,7 +32,7 @@
 
     /// Share of the requests of \a rank that were started; 1 if none arrived.
     double startedShare(std::uint32_t rank) const;
-    /// True if the requests of \a rank were started less than half as often as all requests.
+    /// True if the requests of \a rank were started hardly half as often as all requests.
     /// False until enough requests have arrived.
     bool isBehind(std::uint32_t rank) const;
     /// Starts a second of requests that are more urgent than \a rank.
--- a/include/berylspur/admission/slot_scheduler.h
+++ b/include/berylspur/admission/slot_scheduler.h
@@ -198,7 +198,7 @@
     /// Least served of the waiting ranks after \a first, if there is one.
     std::optional<std::uint32_t> leastServedAfter(RequestClass requestClass,
                                                   std::uint32_t first) const;
-    /// Rank after \a first of a nested call that has waited for half of its time, if there is one.
+    /// Rank after \a first of a nested call that has waited for long, if there is one.
     std::optional<std::uint32_t> lateCallAfter(std::uint32_t first, TimePoint now) const;
     template <typename Remove>
     void removeIf(RankedQueue &queue, const Remove &remove);
--- a/include/berylspur/owner/nested_call_ended.h
+++ b/include/berylspur/owner/nested_call_ended.h
@@ -2,6 +2,8 @@
 // makes while it processes another request.
 #pragma once
 
+#include "berylspur/core/clock.h"
+
 #include <string>
 
 namespace berylspur {
@@ -11,6 +13,10 @@
 {
     std::string id; ///< set by the endpoint; the id of the parent request is a prefix of it
     bool isSuccess = false; ///< response with a status below 500
+    std::string service = {}; ///< that was called
+    bool isRefused = false; ///< refused by full queues, and did not run
+    Duration serviceTime {}; ///< time to the first byte at the endpoint; zero: unknown
+    Duration wait {}; ///< rest of the time until the response or the refusal
 };
 
 } // namespace berylspur
--- a/include/berylspur/routing/endpoint_picker.h
+++ b/include/berylspur/routing/endpoint_picker.h
@@ -60,6 +60,9 @@
         return estimate(endpoint, now).wait;
     }
 
+    /// The same, if the owner of \a endpoint has reported its load within ReportLifetime.
+    std::optional<Duration> reportedWait(const EndpointView &endpoint, TimePoint now) const;
+
     void onRequestSent(const std::string &endpoint);
     void onRequestEnded(const std::string &endpoint);
     /// Records the load that the owner reported with a reply.
--- a/include/berylspur/routing/route_table.h
+++ b/include/berylspur/routing/route_table.h
@@ -5,6 +5,7 @@
 #include "berylspur/manifest.pb.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -42,6 +43,8 @@
 
     std::size_t routes() const;
     std::size_t services() const;
+    /// Priorities that the routes have, each once, the most urgent first.
+    std::vector<std::uint32_t> priorities() const;
     /// Configuration of \a service, or nullptr.
     const schema::ServiceConfig *service(const std::string &service) const;
 
--- a/src/admission/rank_shares.cpp
+++ b/src/admission/rank_shares.cpp
@@ -11,8 +11,9 @@
 /// Arrivals below which shares say little.
 constexpr double MinArrivals = 8;
 
-/// The requirement on the least urgent rank: served half as often as all requests together.
-constexpr double MinRelativeShare = 0.5;
+/// The least urgent rank must be served half as often as all requests together. The margin covers
+/// the delay until a rank that falls behind is noticed.
+constexpr double MinRelativeShare = 0.6;
 
 } // namespace
 
--- a/src/admission/slot_scheduler.cpp
+++ b/src/admission/slot_scheduler.cpp
@@ -46,10 +46,13 @@
 /// eight would not do for it where more than two ranks are overloaded.
 constexpr std::uint32_t StartsBeforeRankBehind = 2;
 
-/// The same for a nested call that has waited for half of its time. Its parent holds a slot and
-/// fails with it; but calls of a less urgent rank must not keep out more urgent requests, so most
-/// starts stay with those.
+/// The same for a nested call that has waited for 1 / LateCallDivisor of its time. While it waits,
+/// its parent holds a slot, and long waits fill the service of the parents too: with half of the
+/// time as the limit a service at 0.7 of its room refused one request in twenty because its calls
+/// waited at a full service. Calls of a less urgent rank must not keep out more urgent requests
+/// either; with one start of three they were served more often than those.
 constexpr std::uint32_t StartsBeforeLateCall = 4;
+constexpr int LateCallDivisor = 8;
 
 /// Retry-after value while no service time is known, and the minimum value.
 constexpr Duration DefaultRetryAfter = std::chrono::milliseconds(100);
@@ -349,7 +352,13 @@
     // use is the one that they used lately.
     const double taken = m_shares.startRateBefore(rank) * queue.meanUs / 1e6 / slots;
     const double left = 1 - std::min(taken, 1 - 1.0 / FirstRankStarts);
-    return fromUs(ahead * queue.meanUs / slots / left);
+    double inTurn = ahead / left;
+    // A rank that is behind gets a part of the starts, whatever waits before it.
+    if (rank > 0 && m_shares.isBehind(rank)) {
+        const RankedQueue &own = isNestedCall ? m_nestedCalls : queue.waiting;
+        inTurn = std::min<double>(inTurn, StartsBeforeRankBehind * own.sizeOf(rank));
+    }
+    return fromUs(inTurn * queue.meanUs / slots);
 }
 
 Duration SlotScheduler::retryAfter(RequestClass requestClass, Duration wait) const
@@ -500,7 +509,8 @@
     std::optional<std::uint32_t> found;
     m_nestedCalls.forEachRank([&](std::uint32_t rank) {
         const Node &node = m_nodes[m_nestedCalls.front(rank)];
-        if (!found && rank > first && now - node.enqueued >= node.request.deadline - now)
+        const Duration time = node.request.deadline - node.enqueued;
+        if (!found && rank > first && now - node.enqueued >= time / LateCallDivisor)
             found = rank;
     });
     return found;
--- a/src/gate/gate_context.h
+++ b/src/gate/gate_context.h
@@ -17,6 +17,7 @@
 #include "berylspur/routing/retry_budget.h"
 #include "berylspur/routing/route_table.h"
 #include "berylspur/transport/peer_pool.h"
+#include "called_services.h"
 #include "service_view.h"
 
 #include <event2/event.h>
@@ -70,6 +71,7 @@
     // Requests that wait for a rate-limit lease of their customer, by rateKey().
     std::unordered_map<std::string, std::vector<std::weak_ptr<GateRequest>>> leaseWaiters;
     std::unordered_map<std::string, RetryBudget> retryBudgets; // by service
+    CalledServices calledServices;
     GateCounters counters;
     GateStop stop; // admits all requests unless the node stops
     std::function<void(schema::DecisionRecord)> onDecision;
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -75,6 +75,8 @@
         refuse(ErrorCode::NotRunStopping);
         return;
     }
+    if (!areCallsAdmitted())
+        return;
     m_headers = forwardedHeaders();
     m_body = m_caller->takeBody();
     auto &budget = m_context.retryBudgets[m_service];
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -59,6 +59,9 @@
     /// Continues begin() when the request may start: immediately, or once the earlier requests of
     /// its connection are answered.
     void admit();
+    /// True unless the services that the run would call are short of capacity; otherwise the
+    /// request has been refused.
+    bool areCallsAdmitted();
     /// Timeout that the caller requested, if any. Fails if the header is not a whole number.
     Result<std::optional<Duration>> callerTimeout() const;
     std::string chooseService(const schema::ServiceConfig &config, const schema::Route &route);
@@ -118,8 +121,9 @@
     void respondFailure(std::uint32_t status, ErrorCode code, std::string_view outcome);
     /// Value of the Retry-After header, in seconds.
     std::string retryAfterValue();
-    /// If this request is a nested call, reports its result to the owner on this host.
-    void reportNestedCallEnd(bool isSuccess);
+    /// If this request is a nested call, reports its result to the owner on this host. \a code is
+    /// that of the failure, if any.
+    void reportNestedCallEnd(bool isSuccess, ErrorCode code = ErrorCode::Ok);
     void record(schema::DecisionKind kind, const std::string &rule, ErrorCode code);
     /// The caller closed its connection before the response was complete.
     void onCallerDisconnect();
@@ -193,6 +197,7 @@
         std::shared_ptr<PeerExchange> exchange;
     };
     std::optional<SilentAttempt> m_silent;
+    Duration m_serviceTime {}; // at the endpoint that responded; zero: none did
     std::uint32_t m_status = 0; // of the response to the caller; 0: not started
     bool m_streaming = false; // the response to the caller has started
     std::size_t m_unflushed = 0; // response bytes not yet written to the caller's socket
--- a/src/gate/gate_request_dispatch.cpp
+++ b/src/gate/gate_request_dispatch.cpp
@@ -185,6 +185,7 @@
     headers.emplace_back(RequestIdHeader, m_id.toHex());
     m_streaming = true;
     m_status = reply.status();
+    m_serviceTime = Duration(reply.service_us());
     const auto length = reply.length_plus_one() == 0
                                 ? std::nullopt
                                 : std::optional<std::uint64_t>(reply.length_plus_one() - 1);
@@ -201,6 +202,7 @@
                 {load.slots(), load.free_slots(), load.queued(), Duration(load.mean_service_us())},
                 now);
     }
+    m_context.calledServices.onReport(m_routeKey, reply.load(), now);
     const auto code = errorFromNumber(reply.code());
     if (reply.load().suspicion() > 0 || code == ErrorCode::EndpointFailed
         || code == ErrorCode::EndpointResponseInvalid)
--- a/src/gate/gate_request_finish.cpp
+++ b/src/gate/gate_request_finish.cpp
@@ -96,7 +96,7 @@
 void GateRequest::respondFailure(std::uint32_t status, ErrorCode code, std::string_view outcome)
 {
     ++m_context.counters.failures[code];
-    reportNestedCallEnd(false);
+    reportNestedCallEnd(false, outcome == NotRunOutcome ? code : ErrorCode::Ok);
     HeaderList headers;
     headers.emplace_back(RequestIdHeader, m_id.toHex());
     headers.emplace_back(ResultHeader, std::to_string(static_cast<std::uint32_t>(code)) + " "
@@ -125,10 +125,13 @@
     return text;
 }
 
-void GateRequest::reportNestedCallEnd(bool isSuccess)
+void GateRequest::reportNestedCallEnd(bool isSuccess, ErrorCode code)
 {
-    if (m_isNestedCall)
-        m_context.onNestedCallEnd({m_callerId, isSuccess});
+    if (!m_isNestedCall)
+        return;
+    const auto wait = std::max(age() - m_serviceTime, Duration::zero());
+    m_context.onNestedCallEnd(
+            {m_callerId, isSuccess, m_service, isOverloadRefusal(code), m_serviceTime, wait});
 }
 
 void GateRequest::record(schema::DecisionKind kind, const std::string &rule, ErrorCode code)
@@ -146,6 +149,7 @@
     addFigure(record, "attempts", m_failedAttempts);
     addFigure(record, "age-ms", static_cast<double>(age().count()) / 1000.0);
     addFigure(record, "call", m_isNestedCall ? 1 : 0);
+    addFigure(record, "rank", m_priority);
     if (kind == schema::DECISION_ANSWER)
         addFigure(record, "status", m_status);
     m_context.onDecision(std::move(record));
--- a/src/gate/gate_task.cpp
+++ b/src/gate/gate_task.cpp
@@ -183,6 +183,7 @@
         if (!config->deleted())
             applyCallerLimits(config->caller_bounds());
     }
+    m_context.calledServices.setRanks(m_context.routes.priorities());
     divideRetryBurst();
     m_hasConfiguration = true;
 }
@@ -230,6 +231,7 @@
     m_maintenanceTimer.start(MaintenanceInterval);
     const auto now = BootClock::now();
     m_context.rateLimiter.expire(now);
+    m_context.calledServices.expire(now);
     divideRetryBurst();
     m_context.peers.closeIdle(now - PeerIdleTimeout);
     if (now >= m_nextForget) {
--- a/src/owner/owner_report.cpp
+++ b/src/owner/owner_report.cpp
@@ -138,6 +138,15 @@
                                  "code=\"" + std::string(errorName(code)) + "\"",
                                  static_cast<double>(count));
     }
+    for (std::size_t i = 0; i < RankGroups; ++i) {
+        const auto rank = "rank=\"" + std::to_string(i) + (i + 1 == RankGroups ? "+\"" : "\"");
+        const auto add = [&](const char *name, std::uint64_t count) {
+            text += prometheusSample(name, rank, static_cast<double>(count));
+        };
+        add("berylspur_owner_rank_started_total", m_rankCounts[i].started);
+        add("berylspur_owner_rank_refused_total", m_rankCounts[i].refused);
+        add("berylspur_owner_rank_displaced_total", m_rankCounts[i].displaced);
+    }
     text += m_serviceTimes[0].prometheus("berylspur_owner_service_seconds", "class=\"short\"");
     text += m_serviceTimes[1].prometheus("berylspur_owner_service_seconds", "class=\"long\"");
     return text;
--- a/src/owner/owner_responses.cpp
+++ b/src/owner/owner_responses.cpp
@@ -54,7 +54,7 @@
     reply.set_usual_us(static_cast<std::uint32_t>(usual.count()));
     if (length)
         reply.set_length_plus_one(*length + 1);
-    fillLoad(*reply.mutable_load(), endpoint);
+    fillLoad(*reply.mutable_load(), endpoint, request.dispatch.route());
     for (const auto &[name, value] : request.response.headers) {
         auto *header = reply.add_headers();
         header->set_name(name);
@@ -178,8 +178,13 @@
 
 void OwnerTask::Impl::onNestedCallEnded(const NestedCallEnded &call)
 {
-    if (auto *parent = parentOf(call.id); parent && !call.isSuccess)
-        parent->hasFailedNestedCall = true;
+    auto *parent = parentOf(call.id);
+    if (!parent)
+        return;
+    parent->hasFailedNestedCall = parent->hasFailedNestedCall || !call.isSuccess;
+    m_calls.onCallEnded(parent->dispatch.route(),
+                        {call.service, call.isRefused, call.serviceTime, call.wait},
+                        BootClock::now());
 }
 
 } // namespace berylspur
--- a/src/owner/owner_task.cpp
+++ b/src/owner/owner_task.cpp
@@ -6,6 +6,7 @@
 #include "owner_task_impl.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace berylspur {
@@ -273,14 +274,18 @@
     addFigure(record, "remaining-ms", toFractionalMs(request.deadline - now));
     addFigure(record, "queued", endpoint.scheduler.load().queued);
     addFigure(record, "long", request.requestClass == RequestClass::Long ? 1 : 0);
+    addFigure(record, "rank", dispatch.priority());
     m_task.decisionMade.emit(record);
     request.started = now;
     ++m_dispatchedCount;
+    ++m_rankCounts[rankGroup(dispatch.priority())].started;
+    m_calls.onRun(dispatch.route(), now);
     endpoint.detector.onRequestStarted(id, request.requestClass, now, dispatch.route());
     request.call = endpoint.client->start(call, std::move(handler));
 }
 
-void OwnerTask::Impl::fillLoad(schema::OwnerLoad &load, const OwnedEndpoint &endpoint) const
+void OwnerTask::Impl::fillLoad(schema::OwnerLoad &load, const OwnedEndpoint &endpoint,
+                               const std::string &route) const
 {
     const auto slotLoad = endpoint.scheduler.load();
     load.set_free_slots(slotLoad.freeSlots);
@@ -288,6 +293,17 @@
     load.set_slots(slotLoad.slots);
     load.set_mean_service_us(static_cast<std::uint32_t>(slotLoad.meanServiceTime.count()));
     load.set_suspicion(endpoint.detector.isOpenedByFloor() ? 0 : endpoint.detector.severity());
+    constexpr double Percent = 100;
+    for (const auto &report : m_calls.calls(route, BootClock::now())) {
+        auto *called = load.add_calls();
+        called->set_service(report.service);
+        called->set_calls_percent(
+                static_cast<std::uint32_t>(std::llround(Percent * report.callsPerRun)));
+        called->set_refused_percent(
+                static_cast<std::uint32_t>(std::llround(Percent * report.refusedShare)));
+        called->set_usual_us(static_cast<std::uint32_t>(report.usualTime.count()));
+        called->set_wait_us(static_cast<std::uint32_t>(report.wait.count()));
+    }
 }
 
 void OwnerTask::Impl::failRequest(OwnedRequest &request, ErrorCode code,
@@ -349,11 +365,14 @@
     reply.set_retry_after_ms(static_cast<std::uint32_t>(toMs(retryAfter)));
     reply.set_incarnation(m_incarnation);
     if (endpoint)
-        fillLoad(*reply.mutable_load(), *endpoint);
+        fillLoad(*reply.mutable_load(), *endpoint, dispatch.route());
     peer.reply(reply.SerializeAsString());
     peer.finish();
 
     const bool shed = isOverloadRefusal(code);
+    auto &counts = m_rankCounts[rankGroup(dispatch.priority())];
+    counts.refused += shed ? 1 : 0;
+    counts.displaced += code == ErrorCode::NotRunDisplaced ? 1 : 0;
     auto record = decisionOn(dispatch, shed ? schema::DECISION_SHED : schema::DECISION_REFUSE,
                              std::string(errorName(code)));
     record.set_code(static_cast<std::uint32_t>(code));
@@ -368,6 +387,7 @@
                   toFractionalMs(endpoint->oldestRequestAge(BootClock::now())));
     }
     addFigure(record, "remaining-ms", dispatch.remaining_ms());
+    addFigure(record, "rank", dispatch.priority());
     m_task.decisionMade.emit(record);
 }
 
@@ -458,6 +478,7 @@
         return endpoint.requests.empty() && now - endpoint.lastAnnounced > EndpointRetention;
     });
     m_incarnations.expire(now);
+    m_calls.expire(now);
     m_ledger.expire(now);
     publish(now);
 }
--- a/src/owner/owner_task_impl.h
+++ b/src/owner/owner_task_impl.h
@@ -3,6 +3,7 @@
 // and owner_report.cpp (publication and reports).
 #pragma once
 
+#include "berylspur/admission/call_statistics.h"
 #include "berylspur/core/metrics.h"
 #include "berylspur/core/timer.h"
 #include "berylspur/owner/incarnation_history.h"
@@ -68,6 +69,13 @@
     std::string metrics() const;
 
 private:
+    /// Requests of a group of ranks since the process started.
+    struct RankCounts
+    {
+        std::uint64_t started = 0;
+        std::uint64_t refused = 0; // for overload; includes the displaced ones
+        std::uint64_t displaced = 0;
+    };
     struct ServiceState
     {
         schema::ServiceConfig config;
@@ -118,7 +126,9 @@
     static schema::DecisionRecord decisionOn(const schema::Dispatch &dispatch,
                                              schema::DecisionKind kind, const std::string &rule);
     void failRequest(OwnedRequest &request, ErrorCode code, const OwnedEndpoint &endpoint);
-    void fillLoad(schema::OwnerLoad &load, const OwnedEndpoint &endpoint) const;
+    /// \a route: of the request that is replied to.
+    void fillLoad(schema::OwnerLoad &load, const OwnedEndpoint &endpoint,
+                  const std::string &route) const;
 
     void tick();
     void checkForPause(TimePoint now);
@@ -161,7 +171,9 @@
     std::optional<Announcement> m_heldDiscovery; // the same, from the health check
     std::map<std::string, ServiceState> m_services;
     std::string m_publishedRecords; // serialized, as last sent to peers
+    CallStatistics m_calls;
     std::map<ErrorCode, std::uint64_t> m_refusalCounts;
+    RankCounts m_rankCounts[RankGroups]; // by rankGroup()
     DurationHistogram m_serviceTimes[2]; // by RequestClass
     std::uint64_t m_dispatchedCount = 0;
     bool m_stopping = false;
--- a/src/routing/endpoint_picker.cpp
+++ b/src/routing/endpoint_picker.cpp
@@ -93,6 +93,16 @@
     return result;
 }
 
+std::optional<Duration> EndpointPicker::reportedWait(const EndpointView &endpoint,
+                                                     TimePoint now) const
+{
+    const auto found = m_loads.find(endpoint.id);
+    if (found == m_loads.end() || !found->second.hasReport
+        || now - found->second.reportedAt >= ReportLifetime)
+        return std::nullopt;
+    return estimate(endpoint, now).wait;
+}
+
 bool EndpointPicker::isRoomy(const Estimate &load)
 {
     // Reports of the load are up to a second old and endpoints slow down when they are nearly full,
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 #include <tuple>
 
 namespace berylspur {
@@ -204,6 +205,16 @@
     return m_services.size();
 }
 
+std::vector<std::uint32_t> RouteTable::priorities() const
+{
+    std::set<std::uint32_t> found;
+    for (const auto &[name, entry] : m_services) {
+        for (const auto &route : entry->config.content().routes())
+            found.insert(route.priority());
+    }
+    return {found.begin(), found.end()};
+}
+
 const schema::ServiceConfig *RouteTable::service(const std::string &service) const
 {
     const auto found = m_services.find(service);
--- a/tests/owner_task_test.cpp
+++ b/tests/owner_task_test.cpp
@@ -302,6 +302,43 @@
     BOOST_TEST(owner.openRequests() == 6U);
 }
 
+// Guards against gates that are not told which services the runs of a route call.
+BOOST_FIXTURE_TEST_CASE(replies_name_the_called_services, Fixture)
+{
+    announce("ready");
+    const auto makeParent = [this](const std::string &route) {
+        const auto id = RequestId::generate(random);
+        auto dispatch = makeDispatch(id);
+        dispatch.set_route(route);
+        dispatch.set_priority(9);
+        dispatch.set_caller_request_id(id.toHex());
+        return dispatch;
+    };
+    for (int i = 0; i < 3; ++i)
+        BOOST_TEST(send(makeParent("parents")).status() == 200U);
+    endpoint.neverResponds = true;
+    auto parent = makeParent("parents");
+    channel->start(PeerMethod::Dispatch,
+                   [parent](std::uint64_t tick) mutable {
+                       parent.set_last_tick(tick);
+                       return parent.SerializeAsString();
+                   },
+                   "", {});
+    BOOST_REQUIRE(loop.runUntil([&] { return endpoint.requests == 4; }));
+    owner.onNestedCallEnded({parent.caller_request_id() + ".1", true, "back", false,
+                             std::chrono::milliseconds(20)});
+    owner.onNestedCallEnded({parent.caller_request_id() + ".2", false, "back", true});
+    endpoint.neverResponds = false;
+    const auto reply = send(makeParent("parents"));
+    BOOST_REQUIRE(reply.load().calls_size() == 1);
+    BOOST_TEST(reply.load().calls(0).service() == "back");
+    BOOST_TEST(reply.load().calls(0).refused_percent() == 50U);
+    BOOST_TEST(reply.load().calls(0).usual_us() == 20000U);
+    BOOST_TEST(send(makeParent("others")).load().calls_size() == 0);
+    BOOST_TEST(owner.metrics().find("berylspur_owner_rank_started_total{rank=\"4+\"} 6")
+               != std::string::npos);
+}
+
 namespace {
 
 struct SparseFixture : Fixture
