--- a/tests/gate_state_test.cpp
+++ b/tests/gate_state_test.cpp
@@ -92,3 +92,43 @@
     BOOST_REQUIRE(config);
     BOOST_TEST(context.serviceViews.current(*config, now).endpoints.size() == 1U);
 }
+
+// Guards against a gate that admits parents while the endpoints of the service that they call
+// report queues beyond their deadline, and against one that refuses them by outdated reports.
+BOOST_AUTO_TEST_CASE(parents_are_refused_by_the_reported_load_of_the_called_service)
+{
+    const Loop loop;
+    MemberTable members(record("self", 1));
+    PeerPool peers(loop.base, {"fleet", "self", 1});
+    GateContext context(loop.base, members, peers, "domain", PickMode::OwnerLoad, {}, "");
+    members.merge(owner(0), Start);
+    auto config = service(0, false);
+    for (const std::uint32_t priority : {0U, 2U}) {
+        auto &route = *config.mutable_content()->add_routes();
+        route.set_path_prefix("/" + std::to_string(priority));
+        route.set_priority(priority);
+    }
+    context.routes.update(config);
+    context.calledServices.setRanks(context.routes.priorities());
+    schema::OwnerLoad load;
+    auto &call = *load.add_calls();
+    call.set_service("service-0");
+    call.set_calls_percent(70);
+    call.set_usual_us(100000);
+    int refused = 0;
+    const auto check = [&](TimePoint now) {
+        return context.calledServices.check({"route", 2, std::chrono::seconds(2)}, context.routes,
+                                            context.serviceViews, context.picker, now);
+    };
+    for (int i = 0; i < 8; ++i) {
+        const auto now = Start + i * std::chrono::milliseconds(10);
+        context.calledServices.onReport("route", load, now);
+        // 20 requests wait for 4 slots with a mean service time of 1 s.
+        context.picker.onLoadReported("endpoint-0", {4, 0, 20, std::chrono::seconds(1)}, now);
+        refused += check(now) ? 1 : 0;
+    }
+    BOOST_TEST(refused == 5); // the first and then one of four are admitted
+    const auto later = Start + EndpointPicker::ReportLifetime + std::chrono::milliseconds(100);
+    for (int i = 0; i < 8; ++i)
+        BOOST_TEST(!check(later));
+}
