Treat a response status outside 100 to 599 as invalid at once

Cause: the reader took every status below 200 for an interim response and waited for another one on the same connection, so that a response with status 000 or 099 kept its caller until the deadline, and a valid response behind it was accepted. Statuses from 600 were passed on to callers.

Change: the reader ends with an error as soon as it has such a head, also if the head names another request. The connection is dropped, the owner answers EndpointResponseInvalid, and the detector counts the response like a reset. A status that the parser itself rejects ("0") has the same result.

Ruled out: treating them as server errors; that would keep the connection, and the place where such a response ends cannot be relied on.

Failed before: of responses_are_validated, the rows status 000, 099, 0, 600 and 999, "invalid status of another response" and both "valid response after ..."; invalid_status_on_a_reused_connection_ends_the_call; invalid_status_makes_the_endpoint_suspect/_0 to _3. (Status "0" ended the call before, but with EndpointFailed.)

--- a/src/core/error_code.cpp
+++ b/src/core/error_code.cpp
@@ -94,7 +94,8 @@
         {ErrorCode::EndpointFailed, "EndpointFailed",
          "the endpoint failed while it ran the request"},
         {ErrorCode::EndpointResponseInvalid, "EndpointResponseInvalid",
-         "the endpoint's success lacks its signature or is encoded"},
+         "the endpoint's response has no valid status, or its success lacks its signature or is "
+         "encoded"},
         {ErrorCode::PeerWrongFleet, "PeerWrongFleet", "the peer belongs to another fleet"},
         {ErrorCode::PeerUnknownSchema, "PeerUnknownSchema",
          "the peer uses an unknown schema version"},
--- a/src/owner/endpoint_client.h
+++ b/src/owner/endpoint_client.h
@@ -20,6 +20,7 @@
     Complete,
     ConnectFailed, ///< no request bytes were sent
     Broken, ///< connection closed before the end of the response, or malformed response
+    InvalidStatus, ///< the status of the response is not one of HTTP
 };
 
 struct CallHandler
--- a/src/owner/endpoint_connection.cpp
+++ b/src/owner/endpoint_connection.cpp
@@ -194,7 +194,7 @@
                    {"part", enumName(PartNames, *error.oversizedPart)}});
     else
         log::warn("endpoint-response-malformed", {{"reason", error.reason}});
-    finish(CallResult::Broken, false);
+    finish(error.isStatusInvalid ? CallResult::InvalidStatus : CallResult::Broken, false);
 }
 
 void EndpointConnection::onEvent(bufferevent *, short events, void *self)
--- a/src/owner/owner_responses.cpp
+++ b/src/owner/owner_responses.cpp
@@ -22,6 +22,21 @@
     return status >= FirstServerError ? RequestOutcome::ServerError : RequestOutcome::Answered;
 }
 
+/// Code of a call that ended without a response that can be used.
+ErrorCode codeFor(CallResult end)
+{
+    switch (end) {
+    case CallResult::ConnectFailed:
+        return ErrorCode::NotRunEndpointUnreachable;
+    case CallResult::InvalidStatus:
+        return ErrorCode::EndpointResponseInvalid;
+    case CallResult::Complete:
+    case CallResult::Broken:
+        break;
+    }
+    return ErrorCode::EndpointFailed;
+}
+
 } // namespace
 
 void OwnerTask::Impl::onResponseHeaders(OwnedEndpoint &endpoint, const RequestId &id,
@@ -138,9 +153,7 @@
     endpoint.detector.onRequestFinished(id, outcome, now);
     recordChanges(endpoint, now);
     const bool complete = end == CallResult::Complete;
-    auto code = complete ? validateResponse(request) : ErrorCode::EndpointFailed;
-    if (end == CallResult::ConnectFailed)
-        code = ErrorCode::NotRunEndpointUnreachable;
+    const auto code = complete ? validateResponse(request) : codeFor(end);
     if (!request.isGateDisconnected) {
         if (code != ErrorCode::Ok) {
             failRequest(request, code, endpoint);
--- a/src/owner/response_reader.cpp
+++ b/src/owner/response_reader.cpp
@@ -13,7 +13,9 @@
 
 namespace {
 
+constexpr unsigned FirstStatus = 100;
 constexpr unsigned FirstFinalStatus = 200;
+constexpr unsigned LastStatus = 599;
 constexpr unsigned FirstHttp11Version = 11;
 
 ResponseError oversizedPart(ResponsePart part)
@@ -21,6 +23,11 @@
     return {"over the limit", part};
 }
 
+ResponseError invalidStatus()
+{
+    return {"invalid status", std::nullopt, true};
+}
+
 } // namespace
 
 ResponseReader::ResponseReader(ExpectedResponse expected) : m_expected(std::move(expected))
@@ -65,6 +72,8 @@
 {
     if (step.error == http::error::header_limit)
         return oversizedPart(ResponsePart::Head);
+    if (step.error == http::error::bad_status)
+        return invalidStatus();
     if (step.error)
         return ResponseError {step.error.message(), std::nullopt};
     if (!step.isOverLimit)
@@ -97,6 +106,10 @@
 std::optional<ResponseEvent> ResponseReader::takeHead()
 {
     const auto &message = m_parser->get();
+    // Also for responses to other requests: an endpoint that sends such a status cannot be relied
+    // on for where its responses end.
+    if (message.result_int() < FirstStatus || message.result_int() > LastStatus)
+        return invalidStatus();
     if (message.result_int() < FirstFinalStatus) {
         m_isSkipping = true;
         if (++m_interimResponses > MaxInterimResponses)
--- a/src/owner/response_reader.h
+++ b/src/owner/response_reader.h
@@ -63,6 +63,7 @@
 {
     std::string reason;
     std::optional<ResponsePart> oversizedPart; ///< set if the part exceeds its limit
+    bool isStatusInvalid = false;
 };
 using ResponseEvent = std::variant<InputNeeded, ResponseHead, ResponseBody, OtherResponse,
                                    ResponseEnd, ResponseError>;
--- a/tests/endpoint_client_test.cpp
+++ b/tests/endpoint_client_test.cpp
@@ -75,6 +75,11 @@
 const std::string Ok = "HTTP/1.1 200 OK\r\nX-Id: 7\r\n";
 const std::string OtherResponse = "HTTP/1.1 200 OK\r\nX-Id: 6\r\nContent-Length: 5\r\n\r\nother";
 
+std::string withStatus(const std::string &status)
+{
+    return "HTTP/1.1 " + status + " x\r\nX-Id: 7\r\nContent-Length: 3\r\n\r\nabc";
+}
+
 const std::vector<ResponseCase> Responses {
         {"length", Ok + "Content-Length: 3\r\n\r\nabc", ConnectionAction::Keep,
          CallResult::Complete, "abc", true},
@@ -106,6 +111,27 @@
         {"coding before chunked",
          Ok + "Transfer-Encoding: gzip, chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
          ConnectionAction::Keep, CallResult::Broken, "", false},
+        {"status 000", withStatus("000"), ConnectionAction::Keep, CallResult::InvalidStatus, "",
+         false},
+        {"status 099", withStatus("099"), ConnectionAction::Keep, CallResult::InvalidStatus, "",
+         false},
+        {"status 0", withStatus("0"), ConnectionAction::Keep, CallResult::InvalidStatus, "", false},
+        {"status 600", withStatus("600"), ConnectionAction::Keep, CallResult::InvalidStatus, "",
+         false},
+        {"status 999", withStatus("999"), ConnectionAction::Keep, CallResult::InvalidStatus, "",
+         false},
+        {"invalid status of another response",
+         "HTTP/1.1 600 x\r\nX-Id: 6\r\nContent-Length: 0\r\n\r\n" + Ok
+                 + "Content-Length: 3\r\n\r\nabc",
+         ConnectionAction::Keep, CallResult::InvalidStatus, "", false},
+        {"valid response after one with status 000",
+         "HTTP/1.1 000 x\r\n\r\n" + Ok + "Content-Length: 3\r\n\r\nabc", ConnectionAction::Keep,
+         CallResult::InvalidStatus, "", false},
+        {"valid response after an empty one with status 000",
+         "HTTP/1.1 000 x\r\nContent-Length: 0\r\n\r\n" + Ok + "Content-Length: 3\r\n\r\nabc",
+         ConnectionAction::Keep, CallResult::InvalidStatus, "", false},
+        {"highest status", withStatus("599"), ConnectionAction::Keep, CallResult::Complete, "abc",
+         true},
         {"interim response", "HTTP/1.1 103 Hints\r\n\r\n" + Ok + "Content-Length: 3\r\n\r\nabc",
          ConnectionAction::Keep, CallResult::Complete, "abc", true},
 };
@@ -203,6 +229,19 @@
     BOOST_TEST(client.opened() == 2U);
 }
 
+// Guards against a response without a valid status on a connection in use again, which an earlier
+// request may have left behind.
+BOOST_FIXTURE_TEST_CASE(invalid_status_on_a_reused_connection_ends_the_call, Fixture)
+{
+    endpoint.script = Ok + "Content-Length: 0\r\n\r\n";
+    BOOST_REQUIRE((call(get()).end == CallResult::Complete));
+    endpoint.script = withStatus("000") + Ok + "Content-Length: 3\r\n\r\nabc";
+    const auto outcome = call(get());
+    BOOST_TEST((outcome.end == CallResult::InvalidStatus));
+    BOOST_TEST(outcome.body.empty());
+    BOOST_TEST(client.idleConnections() == 0U);
+}
+
 // Guards against the failure of all requests to an endpoint that never identifies its responses.
 BOOST_FIXTURE_TEST_CASE(connection_with_an_unidentified_response_is_not_reused, Fixture)
 {
--- a/tests/owner_task_test.cpp
+++ b/tests/owner_task_test.cpp
@@ -40,7 +40,7 @@
         }
         auto *body = evbuffer_new();
         evbuffer_add_printf(body, "run %d", endpoint->requests);
-        evhttp_send_reply(request, HTTP_OK, "OK", body);
+        evhttp_send_reply(request, endpoint->status, "OK", body);
         evbuffer_free(body);
     }
 
@@ -48,6 +48,7 @@
     Address address;
     int requests = 0;
     bool neverResponds = false; // accepts requests but never responds
+    int status = HTTP_OK;
     int failures = 0; // number of next requests to answer with status 500
 };
 
@@ -265,6 +266,19 @@
     BOOST_TEST(owner.openRequests() == 0U);
 }
 
+// Guards against a status that HTTP does not have, which was passed on to the caller, and against
+// an endpoint that stays trusted although it sends one.
+BOOST_DATA_TEST_CASE(invalid_status_makes_the_endpoint_suspect,
+                     boost::unit_test::data::make({0, 99, 600, 999}))
+{
+    Fixture fixture(schema::DETECTION_SPARSE);
+    fixture.announce("ready");
+    fixture.endpoint.status = sample;
+    const auto reply = fixture.send(fixture.makeDispatch(RequestId::generate(fixture.random)));
+    BOOST_TEST((codeOf(reply) == ErrorCode::EndpointResponseInvalid));
+    BOOST_TEST(reply.load().suspicion() > 0U);
+}
+
 namespace {
 
 struct SparseFixture : Fixture
