Hedge idempotent requests beside slow endpoints

Cause: a request at a slow but answering endpoint waits until three usual times have passed before a second endpoint is tried.

Change: services with hedge-percent above 0 (default 0; on the platform integration.hedge-percent) get a second attempt at the 95th percentile of the route's latency. Delay, budget, room and choice of the second endpoint are state machines in src/routing; the gate sends, ends and cancels a hedge in the way of the attempt beside a silent endpoint, which is unchanged for services without the setting. A hedge takes one retry and one hedge from the budgets and does not mark the first endpoint as failed. Counters of hedges sent, won, cancelled and withheld by reason; the decision record names it.

--- a/include/berylspur/routing/endpoint_picker.h
+++ b/include/berylspur/routing/endpoint_picker.h
@@ -54,6 +54,14 @@
                                            const std::unordered_set<std::string> &excluded,
                                            TimePoint now, Random &random) const;
 
+    /// Index into \a view of the endpoint with the largest free share of its slots, among those
+    /// admitted by \a rotation that are healthy, not in \a excluded, and were reported to have more
+    /// than a fifth of their slots free within ReportLifetime. Returns nothing if there is none.
+    std::optional<std::size_t> pickLeastLoaded(const std::vector<EndpointView> &view,
+                                               const Rotation &rotation,
+                                               const std::unordered_set<std::string> &excluded,
+                                               TimePoint now, Random &random) const;
+
     /// Expected queueing time of a request at \a endpoint; zero while a slot is free.
     Duration expectedWait(const EndpointView &endpoint, TimePoint now) const
     {
@@ -94,6 +102,7 @@
     };
 
     bool hasInFlight(const std::string &endpoint) const;
+    bool hasRecentReport(const std::string &endpoint, TimePoint now) const;
     bool hasRecentFailure(const std::string &endpoint, TimePoint now) const;
     Estimate estimate(const EndpointView &endpoint, TimePoint now) const;
     /// True if more than a fifth of the slots are free.
--- a/include/berylspur/routing/placement.h
+++ b/include/berylspur/routing/placement.h
@@ -37,4 +37,12 @@
                                         const Rotation &rotation, EndpointPicker &picker,
                                         const PathHealth &paths, TimePoint now, Random &random);
 
+/// Index into \a view of the endpoint for a hedge of a request that is open at \a tried: the least
+/// loaded one that is known to have room, or nothing. Never one that is recovering, since its
+/// requests are a measurement of its health.
+std::optional<std::size_t> placeHedge(const std::unordered_set<std::string> &tried,
+                                      const std::vector<EndpointView> &view,
+                                      const Rotation &rotation, const EndpointPicker &picker,
+                                      const PathHealth &paths, TimePoint now, Random &random);
+
 } // namespace berylspur
--- a/src/gate/gate_context.cpp
+++ b/src/gate/gate_context.cpp
@@ -18,6 +18,7 @@
     pathHealth.retain({nodes.begin(), nodes.end()});
     picker.retain(members.endpointIds());
     serviceViews.retain(routes);
+    std::erase_if(hedging, [this](const auto &entry) { return !routes.service(entry.first); });
     std::erase_if(retryBudgets, [this](const auto &entry) { return !routes.service(entry.first); });
 }
 
--- a/src/gate/gate_context.h
+++ b/src/gate/gate_context.h
@@ -13,10 +13,12 @@
 #include "berylspur/record.pb.h"
 #include "berylspur/routing/customer_limit.h"
 #include "berylspur/routing/endpoint_picker.h"
+#include "berylspur/routing/hedging.h"
 #include "berylspur/routing/path_health.h"
 #include "berylspur/routing/retry_budget.h"
 #include "berylspur/routing/route_table.h"
 #include "berylspur/transport/peer_pool.h"
+#include "hedge_counters.h"
 #include "service_view.h"
 
 #include <event2/event.h>
@@ -41,6 +43,7 @@
     std::uint64_t abandoned = 0; // the caller disconnected before the end of the response
     std::uint64_t retries = 0;
     std::uint64_t callsOfRepeats = 0; // nested calls made by repeated runs
+    HedgeCounters hedges;
     std::map<ErrorCode, std::uint64_t> failures;
     DurationHistogram latency[2]; // by RequestClass
 };
@@ -70,6 +73,7 @@
     // Requests that wait for a rate-limit lease of their customer, by rateKey().
     std::unordered_map<std::string, std::vector<std::weak_ptr<GateRequest>>> leaseWaiters;
     std::unordered_map<std::string, RetryBudget> retryBudgets; // by service
+    std::unordered_map<std::string, ServiceHedging> hedging; // by service
     GateCounters counters;
     GateStop stop; // admits all requests unless the node stops
     std::function<void(schema::DecisionRecord)> onDecision;
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -33,7 +33,7 @@
       m_claimTimer(context.base, [this] { claimKey(); }),
       m_askTimer(context.base, [this] { ask(m_askId, m_askNode, m_askIncarnation); }),
       m_placementTimer(context.base, [this] { startAttempt(); }),
-      m_silenceTimer(context.base, [this] { onSilence(); }),
+      m_silenceTimer(context.base, [this] { onSecondAttemptDue(); }),
       m_id(RequestId::generate(context.random)), m_arrived(m_caller->arrival())
 {
     m_caller->onClosed([this] { onCallerDisconnect(); });
@@ -84,6 +84,8 @@
     } else {
         budget.recordRequest();
     }
+    if (auto *policy = hedging())
+        policy->recordRequest();
     checkRateLimit(false);
 }
 
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -68,6 +68,8 @@
 
     void startAttempt();
     bool chooseEndpoint();
+    /// Makes \a endpoint that of the next dispatch. Returns false if its owner is not known.
+    bool useEndpoint(const EndpointView &endpoint);
     void claimKey();
     void onClaimReply(const schema::ClaimReply &reply);
     void onClaimFailure();
@@ -83,9 +85,29 @@
     /// Keeps the reported load, failures and service times of the attempt's endpoint.
     void recordReply(const schema::DispatchReply &reply);
 
-    // A second attempt beside one at a silent endpoint; see gate_request_second_attempt.cpp.
-    void startSilenceTimer();
+    // A second attempt beside one that has not responded; see gate_request_second_attempt.cpp and
+    // gate_request_hedging.cpp.
+    struct SilentAttempt;
+    /// Starts the timer for what is due first: a hedge after \a hedge, or the endpoint counts as
+    /// silent.
+    void startSecondAttemptTimer(std::optional<Duration> hedge);
+    void onSecondAttemptDue();
+    /// Time from dispatch, at \a sentAt, after which the endpoint counts as silent. \a
+    /// expectedWait: in its queue.
+    std::optional<Duration> silenceDelay(TimePoint sentAt, Duration expectedWait);
     void onSilence();
+    /// Hedging of the service; null if it is off.
+    ServiceHedging *hedging();
+    std::optional<Duration> hedgeDelay(TimePoint now);
+    void onHedgeDue();
+    HedgeVerdict tryHedge();
+    void recordLatency(Duration latency);
+    SilentAttempt currentAttempt() const;
+    /// Keeps \a first beside a new attempt at the chosen endpoint. \a rule names the cause, ahead
+    /// of the first endpoint.
+    void startSecondAttempt(SilentAttempt first, const std::string &rule);
+    /// The response of the attempt in m_exchange, with \a status, goes to the caller.
+    void onAnswerChosen(std::uint32_t status);
     bool isSilent(int attempt) const { return m_silent && m_silent->number == attempt; }
     void onSilentReply(const std::string &envelope);
     /// Ends the attempt at the silent endpoint without using its response.
@@ -181,6 +203,9 @@
     Duration m_expectedWait {}; // in the queue of the endpoint, when it was picked
     int m_attempt = 0; // number of the one in m_exchange
     int m_startedAttempts = 0;
+    TimePoint m_sentAt; // the attempt in m_exchange
+    bool m_isHedgeDue = false; // next, by m_silenceTimer
+    int m_hedgeAttempt = -1; // number of the hedge; -1: none
     /// An attempt in flight at an endpoint that did not respond in the usual time, while
     /// m_exchange is the second attempt.
     struct SilentAttempt
@@ -191,6 +216,8 @@
         Address address;
         Incarnation incarnation = 0;
         std::shared_ptr<PeerExchange> exchange;
+        TimePoint sentAt;
+        Duration expectedWait {};
     };
     std::optional<SilentAttempt> m_silent;
     std::uint32_t m_status = 0; // of the response to the caller; 0: not started
--- a/src/gate/gate_request_dispatch.cpp
+++ b/src/gate/gate_request_dispatch.cpp
@@ -49,7 +49,11 @@
                                      m_context.pathHealth, BootClock::now(), m_context.random);
     if (!picked)
         return false;
-    const auto &endpoint = view.endpoints[*picked];
+    return useEndpoint(view.endpoints[*picked]);
+}
+
+bool GateRequest::useEndpoint(const EndpointView &endpoint)
+{
     const auto *member = m_context.members.find(endpoint.node);
     if (!member)
         return false;
@@ -99,12 +103,14 @@
     m_context.picker.onRequestSent(m_endpoint);
     m_countedByPicker = true;
     m_dispatching = true;
+    m_sentAt = BootClock::now();
     m_exchange = m_context.peers.channel(m_address, trafficClass())
                          .start(
                                  PeerMethod::Dispatch,
                                  [this](std::uint64_t tick) { return dispatchEnvelope(tick); },
                                  m_body, dispatchHandler());
-    startSilenceTimer();
+    if (m_idempotent && !m_silent)
+        startSecondAttemptTimer(hedgeDelay(m_sentAt));
 }
 
 std::string GateRequest::dispatchEnvelope(std::uint64_t lastTick)
@@ -189,7 +195,7 @@
         retry(ErrorCode::EndpointFailed, true);
         return;
     }
-    dropSilentAttempt();
+    onAnswerChosen(reply.status());
     auto headers = headersFrom(reply);
     headers.emplace_back(RequestIdHeader, m_id.toHex());
     m_streaming = true;
@@ -209,6 +215,8 @@
                 m_endpoint,
                 {load.slots(), load.free_slots(), load.queued(), Duration(load.mean_service_us())},
                 now);
+        if (auto *policy = hedging())
+            policy->recordLoad(load.slots(), load.free_slots(), now);
     }
     const auto code = errorFromNumber(reply.code());
     if (reply.load().suspicion() > 0 || code == ErrorCode::EndpointFailed
--- a/src/gate/gate_task.cpp
+++ b/src/gate/gate_task.cpp
@@ -179,6 +179,7 @@
         budget->second.setPercent(config->content().retry_percent());
         if (isNew && m_withholdsRetryBurst)
             budget->second.withholdBurst();
+        m_context.hedging[config->service()].setPercent(config->content().hedge_percent());
         m_context.serviceViews.invalidate(config->service());
         if (!config->deleted())
             applyCallerLimits(config->caller_bounds());
@@ -208,6 +209,8 @@
     const auto gates = std::max<std::size_t>(m_context.reachableNodes().size(), 1);
     for (auto &[service, budget] : m_context.retryBudgets)
         budget.setBurst(m_retrySlack / static_cast<double>(gates));
+    for (auto &[service, hedging] : m_context.hedging)
+        hedging.setBurst(HedgeBudget::Burst / static_cast<double>(gates));
     if (!m_withholdsRetryBurst || BootClock::now() < m_retryBurstFrom)
         return;
     m_withholdsRetryBurst = false;
@@ -273,6 +276,7 @@
             {"aborted", counters.aborted},
             {"abandoned", counters.abandoned},
             {"retries", counters.retries},
+            {"hedges", counters.hedges.sent},
             {"stopping", m_stopping}};
 }
 
@@ -289,6 +293,7 @@
     text += sample("berylspur_gate_abandoned_total", counters.abandoned);
     text += sample("berylspur_gate_retries_total", counters.retries);
     text += sample("berylspur_gate_calls_of_repeats_total", counters.callsOfRepeats);
+    text += counters.hedges.prometheus();
     text += sample("berylspur_gate_open_requests", m_openRequests.size());
     for (const auto &[code, count] : counters.failures) {
         text += prometheusSample("berylspur_gate_failures_total",
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -250,7 +250,8 @@
     const auto &integration = m_settings.integration();
     const platform::ConfigurationDefaults defaults {
             static_cast<std::uint32_t>(std::floor(Percent * integration.retry_ratio() + Tolerance)),
-            static_cast<std::uint32_t>(std::ceil(Percent * integration.floor_share() - Tolerance))};
+            static_cast<std::uint32_t>(std::ceil(Percent * integration.floor_share() - Tolerance)),
+            integration.hedge_percent()};
     return ExternalConfiguration {platform::ConfigurationObject,
                                   [defaults](const std::string &value) {
                                       return platform::decodeConfiguration(value, defaults);
--- a/src/routing/endpoint_picker.cpp
+++ b/src/routing/endpoint_picker.cpp
@@ -170,6 +170,40 @@
     return candidates[random() % candidates.size()];
 }
 
+std::optional<std::size_t>
+EndpointPicker::pickLeastLoaded(const std::vector<EndpointView> &view, const Rotation &rotation,
+                                const std::unordered_set<std::string> &excluded, TimePoint now,
+                                Random &random) const
+{
+    std::optional<std::size_t> best;
+    Estimate bestLoad;
+    std::size_t equals = 0;
+    for (const std::uint32_t i : rotation.admitted) {
+        const EndpointView &endpoint = view[i];
+        const auto load = estimate(endpoint, now);
+        if (!rotation.entries[i].isHealthy() || excluded.contains(endpoint.id) || !isRoomy(load)
+            || !hasRecentReport(endpoint.id, now) || hasRecentFailure(endpoint.id, now))
+            continue;
+        if (best && isBetter(bestLoad, load))
+            continue;
+        // Endpoints with the same load are chosen at random, so that gates do not all choose the
+        // same one.
+        equals = best && !isBetter(load, bestLoad) ? equals + 1 : 1;
+        if (randomIndex(equals, random) != 0)
+            continue;
+        best = i;
+        bestLoad = load;
+    }
+    return best;
+}
+
+bool EndpointPicker::hasRecentReport(const std::string &endpoint, TimePoint now) const
+{
+    const auto found = m_loads.find(endpoint);
+    return found != m_loads.end() && found->second.hasReport
+           && now - found->second.reportedAt < ReportLifetime;
+}
+
 bool EndpointPicker::hasInFlight(const std::string &endpoint) const
 {
     const auto found = m_loads.find(endpoint);
--- a/src/routing/placement.cpp
+++ b/src/routing/placement.cpp
@@ -49,4 +49,19 @@
     return picked;
 }
 
+std::optional<std::size_t> placeHedge(const std::unordered_set<std::string> &tried,
+                                      const std::vector<EndpointView> &view,
+                                      const Rotation &rotation, const EndpointPicker &picker,
+                                      const PathHealth &paths, TimePoint now, Random &random)
+{
+    constexpr std::uint32_t Percent = 100;
+    auto excluded = tried;
+    for (const auto &endpoint : view) {
+        if (endpoint.onTrial || endpoint.rampPercent < Percent
+            || !paths.isUsable(endpoint.node, now))
+            excluded.insert(endpoint.id);
+    }
+    return picker.pickLeastLoaded(view, rotation, excluded, now, random);
+}
+
 } // namespace berylspur
--- a/tests/process_silent_endpoint_test.cpp
+++ b/tests/process_silent_endpoint_test.cpp
@@ -3,6 +3,9 @@
 #include "process_actions.h"
 #include "raw_caller.h"
 
+#include <algorithm>
+#include <boost/test/data/test_case.hpp>
+#include <cstdlib>
 #include <string>
 #include <vector>
 
@@ -32,6 +35,15 @@
     return names;
 }
 
+/// Value of a counter on the node's metrics page; 0 if it is absent.
+long counter(const Fleet &fleet, int node, const std::string &name)
+{
+    const auto text = call(fleet.node(node).admin, "GET", "/metrics").body;
+    const auto at = text.find("\n" + name + " ");
+    return at == std::string::npos ? 0
+                                   : std::strtol(text.c_str() + at + name.size() + 2, nullptr, 10);
+}
+
 } // namespace
 
 // Guards against an idempotent request that waits until its deadline for an endpoint that does not
@@ -49,6 +61,56 @@
     BOOST_TEST(response.isComplete);
 }
 
+// Guards against a status that HTTP does not have as the response to the caller, or as the end of
+// the request, when a second attempt gets it.
+BOOST_DATA_TEST_CASE(invalid_status_of_a_second_attempt_is_not_used,
+                     boost::unit_test::data::make({99, 600}))
+{
+    FleetOptions options;
+    options.nodes = 3;
+    Fleet fleet(options);
+    BOOST_REQUIRE_EQUAL(fleet.start(), "");
+    warmUp(fleet);
+    fleet.setFaults(0, {{"slow-factor", 16}});
+    for (const int node : {1, 2})
+        fleet.setFaults(node, {{"status", sample}});
+    const Response response = call(fleet.node(0).caller, "GET", Read);
+    BOOST_TEST(response.status == 200, outcomeText(response));
+    BOOST_TEST(response.isComplete);
+}
+
+// Guards against hedges that are not sent or not cancelled, and against hedges of requests that are
+// not idempotent.
+BOOST_AUTO_TEST_CASE(hedges_are_answered_beside_a_slow_endpoint)
+{
+    FleetOptions options;
+    options.nodes = 3;
+    Fleet fleet(options);
+    BOOST_REQUIRE_EQUAL(fleet.start(), "");
+    BOOST_REQUIRE_EQUAL(fleet.apply(fleet.manifest("    hedge-percent: 100\n"), "test"), 0);
+    BOOST_REQUIRE(waitFor([&] { return fleet.revision(0) == 2; }));
+    warmUp(fleet);
+    warmUp(fleet);
+    fleet.setFaults(0, {{"slow-factor", 10}});
+    int writes = 0;
+    // Requests side by side, so that the gate knows the load of several endpoints.
+    BOOST_TEST(waitFor([&] {
+        std::vector<std::future<Response>> calls;
+        for (int i = 0; i < 4; ++i)
+            calls.push_back(callLater(fleet.node(0).caller, "GET", Read));
+        const std::string key = "write-" + std::to_string(writes++);
+        calls.push_back(callLater(fleet.node(0).caller, "POST", "/write?work-ms=50",
+                                  {"Idempotency-Key: " + key}));
+        for (auto &call : calls)
+            BOOST_TEST(call.get().status == 200);
+        return counter(fleet, 0, "berylspur_gate_hedges_won_total") >= 3;
+    }));
+    const auto names = eventNames(fleet, 0);
+    BOOST_TEST(std::count(names.begin(), names.end(), "cancel") >= 3);
+    for (int i = 0; i < writes; ++i)
+        BOOST_TEST(fleet.runsOfKey("write-" + std::to_string(i)).started == 1);
+}
+
 // Guards against a second run of a request that is not idempotent.
 BOOST_AUTO_TEST_CASE(other_request_runs_once_beside_a_silent_endpoint)
 {
--- a/tests/standin/backend/endpoint_responses.cpp
+++ b/tests/standin/backend/endpoint_responses.cpp
@@ -63,7 +63,7 @@
     if ((work.bytes || work.truncate)
         && evhttp_request_get_command(work.request) != EVHTTP_REQ_HEAD)
         return startStream(work);
-    replyJson(work.request, 200,
+    replyJson(work.request, m_faults.status,
               {{"id", work.id},
                {"endpoint", m_id},
                {"service", m_options.service},
--- a/tests/standin/backend/faults.cpp
+++ b/tests/standin/backend/faults.cpp
@@ -17,6 +17,7 @@
     faults.stallProbes = value.value("stall-probes", faults.stallProbes);
     faults.failProbes = value.value("fail-probes", faults.failProbes);
     faults.silent = value.value("silent", faults.silent);
+    faults.status = value.value("status", faults.status);
     faults.dropResponses = value.value("drop-answers", faults.dropResponses);
     if (value.contains("reported-busy"))
         faults.reportedBusy = value["reported-busy"].get<int>();
--- a/tests/standin/backend/faults.h
+++ b/tests/standin/backend/faults.h
@@ -20,6 +20,7 @@
     bool stallProbes = false; ///< stalls also affect health probes
     bool failProbes = false;
     bool silent = false; ///< sends no announcements
+    int status = 200; ///< of responses without another fault
     bool dropResponses = false; ///< runs requests, then closes the connection without a response
     std::optional<int> reportedBusy; ///< overrides the values in /load
     std::optional<int> reportedQueued;
