--- a/tests/process_silent_endpoint_test.cpp
+++ b/tests/process_silent_endpoint_test.cpp
@@ -3,6 +3,9 @@
 #include "process_actions.h"
 #include "raw_caller.h"
 
+#include <algorithm>
+#include <boost/test/data/test_case.hpp>
+#include <cstdlib>
 #include <string>
 #include <vector>
 
@@ -32,6 +35,26 @@
     return names;
 }
 
+/// Value of a counter on the node's metrics page; 0 if it is absent.
+long counter(const Fleet &fleet, int node, const std::string &name)
+{
+    const auto text = call(fleet.node(node).admin, "GET", "/metrics").body;
+    const auto at = text.find("\n" + name + " ");
+    return at == std::string::npos ? 0
+                                   : std::strtol(text.c_str() + at + name.size() + 2, nullptr, 10);
+}
+
+/// Sends so many requests through the first gate that it knows the load of several endpoints.
+void callSideBySide(const Fleet &fleet)
+{
+    constexpr int Requests = 8;
+    std::vector<std::future<Response>> calls;
+    for (int i = 0; i < Requests; ++i)
+        calls.push_back(callLater(fleet.node(0).caller, "GET", "/read?work-ms=200"));
+    for (auto &call : calls)
+        BOOST_TEST(call.get().status == 200);
+}
+
 } // namespace
 
 // Guards against an idempotent request that waits until its deadline for an endpoint that does not
@@ -49,6 +72,53 @@
     BOOST_TEST(response.isComplete);
 }
 
+// Guards against a status that HTTP does not have as the response to the caller, or as the end of
+// the request, when a second attempt gets it.
+BOOST_DATA_TEST_CASE(invalid_status_of_a_second_attempt_is_not_used,
+                     boost::unit_test::data::make({99, 600}))
+{
+    FleetOptions options;
+    options.nodes = 3;
+    Fleet fleet(options);
+    BOOST_REQUIRE_EQUAL(fleet.start(), "");
+    warmUp(fleet);
+    fleet.setFaults(0, {{"slow-factor", 16}});
+    for (const int node : {1, 2})
+        fleet.setFaults(node, {{"status", sample}});
+    const Response response = call(fleet.node(0).caller, "GET", Read);
+    BOOST_TEST(response.status == 200, outcomeText(response));
+    BOOST_TEST(response.isComplete);
+}
+
+// Guards against hedges that are not sent or not cancelled, and against hedges of requests that are
+// not idempotent.
+BOOST_AUTO_TEST_CASE(hedges_are_answered_beside_a_slow_endpoint)
+{
+    FleetOptions options;
+    options.nodes = 3;
+    options.slots = 6;
+    Fleet fleet(options);
+    BOOST_REQUIRE_EQUAL(fleet.start(), "");
+    BOOST_REQUIRE_EQUAL(fleet.apply(fleet.manifest("    hedge-percent: 100\n"), "test"), 0);
+    BOOST_REQUIRE(waitFor([&] { return fleet.revision(0) == 2; }));
+    // The slow requests of the test stay below one in twenty, so that the percentile of the route
+    // is that of the fast ones.
+    constexpr int WarmUpRounds = 40;
+    for (int i = 0; i < WarmUpRounds; ++i)
+        callSideBySide(fleet);
+    fleet.setFaults(0, {{"slow-factor", 10}});
+    const std::string key = "write";
+    const auto write = callLater(fleet.node(0).caller, "POST", "/write?work-ms=200",
+                                 {"Idempotency-Key: " + key});
+    for (int i = 0; i < 3; ++i)
+        callSideBySide(fleet);
+    BOOST_TEST(counter(fleet, 0, "berylspur_gate_hedges_won_total") >= 1);
+    const auto names = eventNames(fleet, 0);
+    BOOST_TEST(std::count(names.begin(), names.end(), "cancel") >= 1);
+    write.wait();
+    BOOST_TEST(fleet.runsOfKey(key).started == 1);
+}
+
 // Guards against a second run of a request that is not idempotent.
 BOOST_AUTO_TEST_CASE(other_request_runs_once_beside_a_silent_endpoint)
 {
