--- a/tests/process_fixture.cpp
+++ b/tests/process_fixture.cpp
@@ -328,6 +328,8 @@
             out << "  - " << local(other.link != 0 ? other.link : other.peer) << "\n";
     }
     out << "limits:\n  stop-limit-ms: " << m_options.stopLimitMs << "\n";
+    for (const std::string &line : m_options.limits)
+        out << "  " << line << "\n";
     if (m_options.onPlatform)
         out << "  response-buffer-bytes: 1048576\n" << integrationSettings(i, isRestart);
     out.close();
--- a/tests/process_fixture.h
+++ b/tests/process_fixture.h
@@ -89,6 +89,7 @@
     int slots = 2;
     bool links = false; ///< nodes reach each other through links
     int stopLimitMs = 20000;
+    std::vector<std::string> limits; ///< further lines of the section "limits" of each node
     std::vector<std::string> backendArguments; ///< of every endpoint
     /// Nodes, endpoints and configuration use the protocols of the users' platform. The service is
     /// also named "svc".
