--- a/include/berylspur/gate/gate_task.h
+++ b/include/berylspur/gate/gate_task.h
@@ -4,6 +4,7 @@
 
 #include "berylspur/core/http_headers.h"
 #include "berylspur/core/ids.h"
+#include "berylspur/core/memory_budget.h"
 #include "berylspur/core/result.h"
 #include "berylspur/gate/stop_admission.h"
 #include "berylspur/manifest.pb.h"
@@ -25,8 +26,10 @@
 class GateTask
 {
 public:
+    /// \a memory counts what callers make the gate hold; null: it is not counted.
     GateTask(event_base *base, const schema::NodeSettings &settings,
-             const MembershipTask &membership, PeerPool &peers, const HeaderNames &names = {});
+             const MembershipTask &membership, PeerPool &peers, const HeaderNames &names = {},
+             MemoryBudget *memory = nullptr);
     ~GateTask();
     GateTask(const GateTask &) = delete;
     GateTask &operator=(const GateTask &) = delete;
--- a/include/berylspur/http/caller_request.h
+++ b/include/berylspur/http/caller_request.h
@@ -4,12 +4,14 @@
 #include "berylspur/core/clock.h"
 #include "berylspur/core/http_headers.h"
 #include "berylspur/core/result.h"
+#include "berylspur/core/shared_body.h"
 
 #include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace berylspur {
 
@@ -21,7 +23,7 @@
 {
 public:
     CallerRequest(CallerConnection *connection, std::string method, std::string target,
-                  HeaderList headers, std::string body, Error error);
+                  HeaderList headers, SharedBody body, Error error);
     ~CallerRequest();
     CallerRequest(const CallerRequest &) = delete;
     CallerRequest &operator=(const CallerRequest &) = delete;
@@ -31,7 +33,7 @@
     const HeaderList &headers() const { return m_headers; }
     /// Value of the first header \a name, or an empty view if there is none.
     std::string_view header(std::string_view name) const;
-    std::string takeBody() { return std::move(m_body); }
+    SharedBody takeBody() { return std::exchange(m_body, {}); }
     /// Time at which the last bytes of the request arrived, or later bytes of its connection that
     /// were read together with them.
     TimePoint arrival() const { return m_arrival; }
@@ -76,6 +78,7 @@
 
     // Called by the connection.
     void setArrival(TimePoint arrival) { m_arrival = arrival; }
+    void setHeadMemory(MemoryReservation memory) { m_headMemory = std::move(memory); }
     void becameFirst();
     void connectionFlushed();
     void connectionClosed();
@@ -85,9 +88,10 @@
     std::string m_method;
     std::string m_target;
     HeaderList m_headers;
-    std::string m_body;
+    SharedBody m_body;
     Error m_error; // detected while reading the request
     TimePoint m_arrival {};
+    MemoryReservation m_headMemory; // of the head, counted while the request is open
     bool m_closeAfter = false;
     bool m_allowsNext = false;
     std::function<void()> m_onFirst;
--- a/include/berylspur/owner/owner_task.h
+++ b/include/berylspur/owner/owner_task.h
@@ -4,6 +4,7 @@
 
 #include "berylspur/core/http_headers.h"
 #include "berylspur/core/ids.h"
+#include "berylspur/core/memory_budget.h"
 #include "berylspur/core/result.h"
 #include "berylspur/manifest.pb.h"
 #include "berylspur/owner/announcement.h"
@@ -25,8 +26,9 @@
 class OwnerTask
 {
 public:
+    /// \a memory counts the responses that the task holds; null: they are not counted.
     OwnerTask(event_base *base, const schema::NodeSettings &settings, Incarnation incarnation,
-              const HeaderNames &names = {});
+              const HeaderNames &names = {}, MemoryBudget *memory = nullptr);
     ~OwnerTask();
     OwnerTask(const OwnerTask &) = delete;
     OwnerTask &operator=(const OwnerTask &) = delete;
--- a/include/berylspur/transport/peer.h
+++ b/include/berylspur/transport/peer.h
@@ -6,6 +6,7 @@
 #include "berylspur/core/clock.h"
 #include "berylspur/core/ids.h"
 #include "berylspur/core/result.h"
+#include "berylspur/core/shared_body.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -47,7 +48,7 @@
     virtual PeerMethod method() const = 0;
     virtual const std::string &envelope() const = 0;
     /// Payload that follows the envelope; complete when the handler is called.
-    virtual std::string takePayload() = 0;
+    virtual SharedBody takePayload() = 0;
     /// Identity that the peer presented in /hello.
     virtual const PeerIdentity &peer() const = 0;
     /// Upper bound on the transit time of a message that echoes \a tick, which the peer held for
@@ -86,8 +87,11 @@
     virtual void drain() = 0;
 
     /// Listens on \a address. Fails with AddressUnusable.
+    /// \a memory counts the payloads and the responses that peers have not read; null: they are
+    /// not counted.
     static Result<std::unique_ptr<PeerServer>> listen(event_base *base, const Address &address,
-                                                      PeerIdentity identity, Handler handler);
+                                                      PeerIdentity identity, Handler handler,
+                                                      MemoryBudget *memory = nullptr);
 };
 
 /// Callbacks of one client stream. None is called after ended().
@@ -128,7 +132,7 @@
     /// timeSinceLastTick()).
     virtual std::shared_ptr<PeerExchange>
     start(PeerMethod method, const std::function<std::string(std::uint64_t lastTick)> &envelope,
-          std::string payload, ExchangeHandler handler) = 0;
+          SharedBody payload, ExchangeHandler handler) = 0;
     /// False once the connection has failed, timed out or used up its stream ids; create a new
     /// channel then.
     virtual bool isUsable() const = 0;
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -146,7 +146,7 @@
     std::string m_customer;
     std::string m_key; // key of the idempotency record; empty without Idempotency-Key
     HeaderList m_headers;
-    std::string m_body;
+    SharedBody m_body; // until the response starts, since a retry needs it
     bool m_idempotent = false;
     RequestClass m_requestClass = RequestClass::Short;
     std::uint64_t m_revision = 0;
--- a/src/gate/gate_request_dispatch.cpp
+++ b/src/gate/gate_request_dispatch.cpp
@@ -193,6 +193,7 @@
     auto headers = headersFrom(reply);
     headers.emplace_back(RequestIdHeader, m_id.toHex());
     m_streaming = true;
+    m_body = {};
     m_status = reply.status();
     const auto length = reply.length_plus_one() == 0
                                 ? std::nullopt
--- a/src/gate/gate_task.cpp
+++ b/src/gate/gate_task.cpp
@@ -7,6 +7,7 @@
 #include "gate_request.h"
 
 #include <nlohmann/json.hpp>
+#include <sys/resource.h>
 #include <unordered_map>
 #include <vector>
 
@@ -41,13 +42,26 @@
     return parseDuration(settings.integration().retry_window()).value_or(DefaultWindow);
 }
 
+/// Limit of the settings, or three quarters of the descriptor limit. The rest is left to endpoints,
+/// peers and the node itself.
+std::size_t maxConnections(const schema::NodeSettings &settings)
+{
+    if (settings.limits().max_connections() > 0)
+        return settings.limits().max_connections();
+    rlimit descriptors {};
+    if (getrlimit(RLIMIT_NOFILE, &descriptors) != 0 || descriptors.rlim_cur == RLIM_INFINITY)
+        return 0;
+    return static_cast<std::size_t>(descriptors.rlim_cur / 4 * 3);
+}
+
 } // namespace
 
 class GateTask::Impl
 {
 public:
     Impl(GateTask &task, event_base *base, const schema::NodeSettings &settings,
-         const MembershipTask &membership, PeerPool &peers, const HeaderNames &names)
+         const MembershipTask &membership, PeerPool &peers, const HeaderNames &names,
+         MemoryBudget *memory)
         : m_address(settings.addresses().caller()),
           m_maxOpenRequests(settings.limits().max_requests_in_flight()),
           m_retrySlack(settings.integration().retry_slack()),
@@ -58,8 +72,10 @@
                     settings.policy().pick() == schema::PICK_TWO_RANDOM ? PickMode::TwoRandom
                                                                         : PickMode::OwnerLoad,
                     names, settings.integration().service()),
-          m_callers(base,
-                    [this](std::unique_ptr<CallerRequest> request) { accept(std::move(request)); }),
+          m_callers(
+                  base,
+                  [this](std::unique_ptr<CallerRequest> request) { accept(std::move(request)); },
+                  memory),
           m_maintenanceTimer(base, [this] { runMaintenance(); }),
           m_releaseTimer(base, [this] { m_finishedRequests.clear(); })
     {
@@ -72,7 +88,15 @@
         m_context.parentRun = [&task](const std::string &id) { return task.parentRun.emit(id); };
         m_limits.maxBodyBytes = settings.limits().max_body_bytes();
         m_limits.maxHeaderBytes = settings.limits().max_header_bytes();
+        m_limits.maxHeaderFields = settings.limits().max_header_fields();
+        m_limits.maxConnections = maxConnections(settings);
+        m_limits.minBodyRate = settings.limits().min_body_rate();
         m_callers.setLimits(m_limits);
+        // Without a route the request is refused whatever its body.
+        m_callers.setBodyFilter(
+                [this](std::string_view method, std::string_view host, std::string_view target) {
+                    return m_hasConfiguration && m_context.routes.match(method, host, target);
+                });
     }
     ~Impl()
     {
@@ -107,6 +131,8 @@
     std::string metrics() const;
 
 private:
+    nlohmann::json dumpCallers() const;
+    std::string callerMetrics() const;
     void accept(std::unique_ptr<CallerRequest> caller);
     void applyCallerLimits(const schema::CallerBounds &bounds);
     /// Divides the fleet's retry burst by the number of reachable nodes, each of which is a gate,
@@ -273,9 +299,43 @@
             {"aborted", counters.aborted},
             {"abandoned", counters.abandoned},
             {"retries", counters.retries},
+            {"callers", dumpCallers()},
             {"stopping", m_stopping}};
 }
 
+nlohmann::json GateTask::Impl::dumpCallers() const
+{
+    const auto &counters = m_callers.counters();
+    return {{"connections", m_callers.connections()},
+            {"max-connections", m_limits.maxConnections},
+            {"too-many-fields", counters.tooManyFields},
+            {"slow-bodies", counters.slowBodies},
+            {"discarded-bodies", counters.discardedBodies},
+            {"refused-for-memory", counters.refusedForMemory},
+            {"closed-for-memory", counters.closedForMemory},
+            {"closed-for-connections", counters.closedForConnections},
+            {"refused-connections", counters.refusedConnections}};
+}
+
+std::string GateTask::Impl::callerMetrics() const
+{
+    const auto &counters = m_callers.counters();
+    const auto sample = [](const char *reason, std::uint64_t value) {
+        return prometheusSample("berylspur_gate_caller_limits_total",
+                                "reason=\"" + std::string(reason) + "\"",
+                                static_cast<double>(value));
+    };
+    return prometheusSample("berylspur_gate_connections", "",
+                            static_cast<double>(m_callers.connections()))
+           + sample("too-many-fields", counters.tooManyFields)
+           + sample("slow-body", counters.slowBodies)
+           + sample("discarded-body", counters.discardedBodies)
+           + sample("refused-for-memory", counters.refusedForMemory)
+           + sample("closed-for-memory", counters.closedForMemory)
+           + sample("closed-for-connections", counters.closedForConnections)
+           + sample("refused-connection", counters.refusedConnections);
+}
+
 std::string GateTask::Impl::metrics() const
 {
     const auto &counters = m_context.counters;
@@ -295,14 +355,16 @@
                                  "code=\"" + std::string(errorName(code)) + "\"",
                                  static_cast<double>(count));
     }
+    text += callerMetrics();
     text += counters.latency[0].prometheus("berylspur_gate_seconds", "class=\"short\"");
     text += counters.latency[1].prometheus("berylspur_gate_seconds", "class=\"long\"");
     return text;
 }
 
 GateTask::GateTask(event_base *base, const schema::NodeSettings &settings,
-                   const MembershipTask &membership, PeerPool &peers, const HeaderNames &names)
-    : m_impl(std::make_unique<Impl>(*this, base, settings, membership, peers, names))
+                   const MembershipTask &membership, PeerPool &peers, const HeaderNames &names,
+                   MemoryBudget *memory)
+    : m_impl(std::make_unique<Impl>(*this, base, settings, membership, peers, names, memory))
 {
 }
 
--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -27,6 +27,16 @@
 /// Time for the caller to read the last response before the connection is closed. Closing with
 /// unread input resets the connection, which may discard the response at the caller.
 constexpr Duration LingerTimeout = std::chrono::seconds(1);
+/// A body up to this size is read whatever the memory, so that ordinary requests never wait.
+constexpr std::size_t SmallBodyBytes = 16u << 10;
+/// Of a connection without a request: its objects, and those of libevent.
+constexpr std::size_t ConnectionBytes = 2u << 10;
+/// Of a header field in the parser and in the list of headers, beside its text.
+constexpr std::size_t FieldBytes = 160;
+/// Body bytes that count as progress of a caller.
+constexpr std::size_t MinProgressBytes = 16u << 10;
+/// Time over which the rate of a body is averaged.
+constexpr Duration RateWindow = std::chrono::seconds(10);
 constexpr std::string_view HeadTerminator = "\r\n\r\n";
 
 ErrorCode errorCodeFor(const boost::system::error_code &error)
@@ -65,12 +75,19 @@
     return false;
 }
 
+std::size_t countLines(std::string_view text)
+{
+    return static_cast<std::size_t>(std::count(text.begin(), text.end(), '\n'));
+}
+
 } // namespace
 
 CallerConnection::CallerConnection(CallerServer &server, evutil_socket_t fd)
     : m_server(server), m_events(bufferevent_socket_new(server.m_base, fd, BEV_OPT_CLOSE_ON_FREE)),
       m_timer(server.m_base, [this] { onTimeout(); }),
-      m_nextRequestTimer(server.m_base, [this] { read(); })
+      m_nextRequestTimer(server.m_base, [this] { read(); }),
+      m_memory(server.m_memory, MemoryUse::Callers,
+               {[this] { closeForMemory(); }, [this] { onMemoryPromised(); }})
 {
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
@@ -100,6 +117,7 @@
     auto *connection = static_cast<CallerConnection *>(self);
     connection->m_lastInput = BootClock::now();
     connection->read();
+    connection->updateMemory();
 }
 
 void CallerConnection::read()
@@ -112,6 +130,7 @@
     if (m_state == State::Idle && evbuffer_get_length(input) > 0 && mayReadNext()) {
         m_state = State::ReadingHead;
         setTimer(m_server.limits().headerTimeout);
+        recordProgress(m_lastInput);
     }
     if (m_state == State::ReadingHead && !readHead())
         return;
@@ -155,6 +174,14 @@
     const std::string_view head(
             reinterpret_cast<const char *>(evbuffer_pullup(input, static_cast<ev_ssize_t>(size))),
             size);
+    // The request line and the empty line at the end are no fields.
+    const auto fields = countLines(head) - 2;
+    if (fields > limits.maxHeaderFields) {
+        ++m_server.m_counters.tooManyFields;
+        fail(ErrorCode::RequestHeadersTooLarge, "too many header fields");
+        return false;
+    }
+    m_headMemory = 2 * size + fields * FieldBytes;
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(limits.maxHeaderBytes) + 1);
     m_parser->body_limit(limits.maxBodyBytes);
@@ -178,16 +205,125 @@
     m_requestFraming.keepsAlive = message.keep_alive();
     m_expectsContinue =
             message[http::field::expect] == "100-continue" && !m_requestFraming.isHttp10;
-    sendContinue();
     m_state = State::ReadingBody;
     m_parser->eager(true);
+    if (!prepareBody())
+        return false;
+    sendContinue();
     return true;
 }
 
+bool CallerConnection::prepareBody()
+{
+    m_keepsBody = true;
+    m_bodyRoom = SmallBodyBytes;
+    m_progressBytes = 0;
+    m_rateWindowBytes = 0;
+    m_rateWindowEnd = m_lastInput + RateWindow;
+    const auto length = m_parser->content_length();
+    const bool isSmall = length ? *length <= SmallBodyBytes : !m_parser->chunked();
+    if (isSmall)
+        return true;
+    const auto &message = m_parser->get();
+    const auto host = message[http::field::host];
+    if (m_server.m_keepsBody
+        && !m_server.m_keepsBody({message.method_string().data(), message.method_string().size()},
+                                 {host.data(), host.size()},
+                                 {message.target().data(), message.target().size()})) {
+        m_keepsBody = false;
+        ++m_server.m_counters.discardedBodies;
+        return true;
+    }
+    if (!length)
+        return true;
+    const auto size = static_cast<std::size_t>(*length);
+    if (m_server.m_memory && size > m_server.m_memory->maxBody()) {
+        refuseForMemory();
+        return false;
+    }
+    m_bodyRoom = size;
+    if (m_memory.promise(size))
+        return true;
+    waitForMemory();
+    return false;
+}
+
+bool CallerConnection::hasRoomForBody()
+{
+    auto &body = m_parser->get().body();
+    if (!m_keepsBody) {
+        body.clear();
+        return true;
+    }
+    if (body.size() < m_bodyRoom || m_parser->content_length())
+        return true;
+    // A chunked body: its room is doubled, as its storage would be.
+    const auto step = std::min(m_bodyRoom, m_server.limits().maxBodyBytes);
+    m_bodyRoom += step;
+    if (m_memory.promise(step))
+        return true;
+    waitForMemory();
+    return false;
+}
+
+void CallerConnection::waitForMemory()
+{
+    m_isWaitingForMemory = true;
+    bufferevent_disable(m_events, EV_READ);
+    setTimer(m_server.limits().headerTimeout);
+}
+
+void CallerConnection::onMemoryPromised()
+{
+    m_isWaitingForMemory = false;
+    bufferevent_enable(m_events, EV_READ);
+    m_rateWindowBytes = 0;
+    m_rateWindowEnd = BootClock::now() + RateWindow;
+    sendContinue();
+    read();
+    updateMemory();
+}
+
+void CallerConnection::refuseForMemory()
+{
+    ++m_server.m_counters.refusedForMemory;
+    if (m_server.m_memory)
+        m_server.m_memory->countRefusal();
+    fail(ErrorCode::NotRunMemory, "no memory for the body");
+}
+
+void CallerConnection::closeForMemory()
+{
+    ++m_server.m_counters.closedForMemory;
+    log::info("connection-closed-for-memory", {{"bytes", m_memory.held()}});
+    close(true);
+}
+
+void CallerConnection::recordProgress(TimePoint now)
+{
+    m_lastProgress = now;
+    m_memory.progressed(now);
+}
+
+void CallerConnection::updateMemory()
+{
+    if (!m_server.m_memory || m_state == State::Closed)
+        return;
+    auto bytes =
+            ConnectionBytes + evbuffer_get_length(bufferevent_get_input(m_events)) + unsentBytes();
+    for (const auto &response : m_responses)
+        bytes += evbuffer_get_length(response.output());
+    if (m_parser) {
+        const auto &body = m_parser->get().body();
+        bytes += m_headMemory + (m_parser->content_length() ? body.size() : body.capacity());
+    }
+    m_memory.hold(bytes);
+}
+
 void CallerConnection::sendContinue()
 {
     // Ahead of an open response it would be taken for the interim response of that request.
-    if (m_responses.empty() && std::exchange(m_expectsContinue, false))
+    if (m_responses.empty() && !m_isWaitingForMemory && std::exchange(m_expectsContinue, false))
         send("HTTP/1.1 100 Continue\r\n\r\n");
 }
 
@@ -213,8 +349,12 @@
 void CallerConnection::readBody()
 {
     auto *input = bufferevent_get_input(m_events);
-    setTimer(m_server.limits().idleTimeout);
+    if (m_isWaitingForMemory)
+        return;
+    startBodyTimer();
     while (!m_parser->is_done()) {
+        if (!hasRoomForBody())
+            return;
         const auto length = std::min(evbuffer_get_length(input), m_server.limits().maxHeaderBytes);
         const auto *bytes = evbuffer_pullup(input, static_cast<ev_ssize_t>(length));
         const std::string_view window(reinterpret_cast<const char *>(bytes), length);
@@ -223,6 +363,12 @@
         const auto step = parseBounded(*m_parser, window, m_server.limits().maxHeaderBytes);
         const bool isTrailer = step.isOverLimit && hasCompleteChunkHeader(window);
         evbuffer_drain(input, step.used);
+        m_rateWindowBytes += step.used;
+        m_progressBytes += step.used;
+        if (m_progressBytes >= MinProgressBytes) {
+            m_progressBytes = 0;
+            recordProgress(m_lastInput);
+        }
         if (step.error)
             fail(errorCodeFor(step.error), step.error.message());
         else if (isTrailer)
@@ -250,17 +396,60 @@
     m_timer.stop();
     m_state = State::Idle;
     m_expectsContinue = false;
+    if (std::exchange(m_isWaitingForMemory, false))
+        bufferevent_enable(m_events, EV_READ);
+    recordProgress(m_lastInput);
     m_isLastRequestRead = !m_requestFraming.keepsAlive;
     auto &message = m_parser->get();
+    auto *budget = m_server.m_memory;
+    auto body = std::move(message.body());
+    if (error.code != ErrorCode::Ok || !m_keepsBody)
+        std::string().swap(body);
+    // What the connection held for the request is counted by the request from here on.
+    m_memory.releasePromise();
+    m_memory.hold(0);
+    if (budget && error.code == ErrorCode::Ok && !budget->fits(m_headMemory + body.size())) {
+        ++m_server.m_counters.refusedForMemory;
+        budget->countRefusal();
+        error = {ErrorCode::NotRunMemory, "no memory for the request"};
+        m_requestFraming.keepsAlive = false;
+        m_isLastRequestRead = true;
+        std::string().swap(body);
+    }
+    const auto bodySize = body.capacity();
     auto request = std::make_unique<CallerRequest>(
             this, std::string(message.method_string()), std::string(message.target()),
-            std::exchange(m_headers, {}), std::move(message.body()), std::move(error));
+            std::exchange(m_headers, {}),
+            SharedBody(std::move(body), MemoryReservation(budget, MemoryUse::Bodies, bodySize)),
+            std::move(error));
     request->setArrival(m_lastInput);
+    request->setHeadMemory(MemoryReservation(budget, MemoryUse::Bodies, m_headMemory));
     m_responses.emplace_back(request.get(), m_requestFraming);
     m_parser.reset();
+    m_headMemory = 0;
+    updateMemory();
     m_server.m_handler(std::move(request));
 }
 
+void CallerConnection::startBodyTimer()
+{
+    auto delay = m_server.limits().idleTimeout;
+    if (m_server.limits().minBodyRate > 0)
+        delay = std::min(delay, std::max<Duration>(m_rateWindowEnd - m_lastInput, {}));
+    setTimer(delay);
+}
+
+bool CallerConnection::isBodyTooSlow()
+{
+    const auto rate = m_server.limits().minBodyRate;
+    const auto now = BootClock::now();
+    if (rate == 0 || now < m_rateWindowEnd)
+        return false;
+    constexpr auto Seconds = std::chrono::duration_cast<std::chrono::seconds>(RateWindow).count();
+    m_rateWindowEnd = now + RateWindow;
+    return std::exchange(m_rateWindowBytes, 0) < std::size_t {rate} * Seconds;
+}
+
 CallerResponse *CallerConnection::findResponse(const CallerRequest &request)
 {
     const auto found =
@@ -298,6 +487,7 @@
     sendReadyResponses();
     if (isFirst(request) && unsentBytes() == 0)
         m_responses.front().request()->connectionFlushed();
+    updateMemory();
 }
 
 void CallerConnection::finishResponse(const CallerRequest &request)
@@ -314,11 +504,15 @@
     response->finish();
     sendReadyResponses();
     continueReading();
+    updateMemory();
 }
 
 void CallerConnection::sendReadyResponses()
 {
     bool isNextFirst = false;
+    // The time that the caller needs to read counts from here, not from its request.
+    if (unsentBytes() == 0)
+        recordProgress(BootClock::now());
     while (!m_responses.empty()) {
         auto &first = m_responses.front();
         bufferevent_write_buffer(m_events, first.output());
@@ -348,6 +542,21 @@
         waitForFlush();
 }
 
+bool CallerConnection::isReplaceable() const
+{
+    switch (m_state) {
+    case State::ReadingHead:
+    case State::ReadingBody:
+    case State::Lingering:
+        return true;
+    case State::Idle:
+        return m_responses.empty() || hasUnsentOutput();
+    case State::Closed:
+        break;
+    }
+    return false;
+}
+
 bool CallerConnection::hasUnsentOutput() const
 {
     return unsentBytes() > 0
@@ -388,10 +597,12 @@
 
 void CallerConnection::onFlushed()
 {
+    recordProgress(BootClock::now());
     if (m_state == State::Lingering)
         shutdownWrite();
     else if (!m_responses.empty())
         m_responses.front().request()->connectionFlushed();
+    updateMemory();
 }
 
 void CallerConnection::onEvent(bufferevent *, short events, void *self)
@@ -410,8 +621,10 @@
         else
             closeUnread();
         break;
-    case State::ReadingHead:
     case State::ReadingBody:
+        onBodyTimeout();
+        break;
+    case State::ReadingHead:
         fail(ErrorCode::RequestTimeout, "request not received within the timeout");
         break;
     case State::Closed:
@@ -419,6 +632,22 @@
     }
 }
 
+void CallerConnection::onBodyTimeout()
+{
+    if (m_isWaitingForMemory) {
+        refuseForMemory();
+        return;
+    }
+    if (isBodyTooSlow()) {
+        ++m_server.m_counters.slowBodies;
+        fail(ErrorCode::RequestTimeout, "body below the least rate");
+    } else if (BootClock::now() - m_lastInput >= m_server.limits().idleTimeout) {
+        fail(ErrorCode::RequestTimeout, "request not received within the timeout");
+    } else {
+        setTimer(std::max<Duration>(m_rateWindowEnd - BootClock::now(), {}));
+    }
+}
+
 void CallerConnection::closeUnread()
 {
     const bool isIncomplete = unsentBytes() > 0;
@@ -433,6 +662,9 @@
         return;
     m_timer.stop();
     m_nextRequestTimer.stop();
+    m_memory.releasePromise();
+    m_memory.hold(0);
+    m_parser.reset();
     bufferevent_disable(m_events, EV_READ | EV_WRITE);
     if (reset) {
         // A reset marks the response as incomplete, whatever its framing.
--- a/src/http/caller_connection.h
+++ b/src/http/caller_connection.h
@@ -1,6 +1,7 @@
 // One caller connection: reads requests and writes their responses in the same order.
 #pragma once
 
+#include "berylspur/core/memory_budget.h"
 #include "berylspur/core/timer.h"
 #include "berylspur/http/caller_server.h"
 #include "caller_response.h"
@@ -37,6 +38,14 @@
     /// True if response bytes are not yet written to the socket.
     bool hasUnsentOutput() const;
 
+    /// True if the connection only waits for its caller, so that closing it loses no response that
+    /// an endpoint still prepares.
+    bool isReplaceable() const;
+    /// Time at which the caller last sent or took a relevant amount of data.
+    TimePoint lastProgress() const { return m_lastProgress; }
+    /// Closes the connection without a response.
+    void closeForLimit() { close(true); }
+
 private:
     /// Idle: no request is being read; requests may be open.
     enum class State { Idle, ReadingHead, ReadingBody, Lingering, Closed };
@@ -53,6 +62,23 @@
     void sendContinue();
     bool readHead();
     void readBody();
+    /// Decides whether the body is kept, and reserves memory for it. Returns false if the request
+    /// is refused or has to wait.
+    bool prepareBody();
+    /// Returns true if the next part of the body may be read; otherwise it waits for memory.
+    bool hasRoomForBody();
+    void waitForMemory();
+    void onMemoryPromised();
+    void closeForMemory();
+    void refuseForMemory();
+    void onBodyTimeout();
+    /// States what the connection holds to the memory budget.
+    void updateMemory();
+    void recordProgress(TimePoint now);
+    /// Starts the timeout of the body, and the check of its rate.
+    void startBodyTimer();
+    /// True if the body came too slowly over the time that has ended.
+    bool isBodyTooSlow();
     /// Checks what the parser does not reject. Fails with a 3xxx code.
     Result<void> checkHead(std::string_view head) const;
     void fail(ErrorCode code, const std::string &detail);
@@ -82,6 +108,15 @@
     HeaderList m_headers; // of the request that is being read, without trailers
     RequestFraming m_requestFraming; // of the request that is being read
     TimePoint m_lastInput; // time at which bytes last arrived
+    TimePoint m_lastProgress = BootClock::now();
+    MemoryHolder m_memory;
+    std::size_t m_headMemory = 0; // estimate for the head that is being read
+    std::size_t m_bodyRoom = 0; // body bytes that may be kept
+    std::size_t m_progressBytes = 0; // body bytes since the last progress
+    bool m_keepsBody = true;
+    bool m_isWaitingForMemory = false;
+    TimePoint m_rateWindowEnd {}; // of the check of the body's rate
+    std::size_t m_rateWindowBytes = 0;
     std::deque<CallerResponse> m_responses; // of the open requests, in the order of their arrival
     std::size_t m_unsentBytes = 0; // when the idle timeout started
     bool m_expectsContinue = false; // the caller waits for an interim response
--- a/src/http/caller_request.cpp
+++ b/src/http/caller_request.cpp
@@ -34,7 +34,7 @@
 } // namespace
 
 CallerRequest::CallerRequest(CallerConnection *connection, std::string method, std::string target,
-                             HeaderList headers, std::string body, Error error)
+                             HeaderList headers, SharedBody body, Error error)
     : m_connection(connection), m_method(std::move(method)), m_target(std::move(target)),
       m_headers(std::move(headers)), m_body(std::move(body)), m_error(std::move(error))
 {
--- a/src/http/request_status.cpp
+++ b/src/http/request_status.cpp
@@ -19,6 +19,8 @@
         return 431;
     case ErrorCode::RequestCodingNotSupported:
         return 501;
+    case ErrorCode::NotRunMemory:
+        return 503;
     default:
         return BadRequest;
     }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -20,6 +20,7 @@
 #include "berylspur/settings/node_settings.h"
 #include "berylspur/transport/peer_pool.h"
 #include "home_task.h"
+#include "memory_task.h"
 #include "platform/configuration.h"
 #include "platform/header_names.h"
 #include "platform/heartbeat_server.h"
@@ -111,6 +112,7 @@
     std::string m_settingsFile; // not reloaded if empty
     std::filesystem::file_time_type m_settingsModifiedAt;
     event_base *m_base;
+    MemoryTask m_memory; // before all that holds memory, which it must outlive
     Incarnation m_incarnation = newIncarnation();
     PeerIdentity m_identity;
     HeaderNames m_names;
@@ -136,15 +138,17 @@
 
 Node::Impl::Impl(schema::NodeSettings settings, std::string settingsFile)
     : m_settings(std::move(settings)), m_settingsFile(std::move(settingsFile)),
-      m_base(event_base_new()), m_identity {m_settings.fleet(), m_settings.node().name(),
-                                            m_incarnation},
+      m_base(event_base_new()),
+      m_memory(m_base, m_settings.limits().memory_bytes()), m_identity {m_settings.fleet(),
+                                                                        m_settings.node().name(),
+                                                                        m_incarnation},
       m_names(isIntegrated() ? platform::headerNames() : HeaderNames {}),
       m_decisions(m_settings.node().name(), m_incarnation),
       m_platform(m_base, parseChecked(m_settings.platform())), m_peers(m_base, m_identity),
       m_membership(m_base, m_settings, m_incarnation, m_platform, m_peers),
       m_config(m_base, m_platform, m_peers, m_membership, externalConfiguration()),
-      m_owner(m_base, m_settings, m_incarnation, m_names),
-      m_gate(m_base, m_settings, m_membership, m_peers, m_names),
+      m_owner(m_base, m_settings, m_incarnation, m_names, &m_memory.budget()),
+      m_gate(m_base, m_settings, m_membership, m_peers, m_names, &m_memory.budget()),
       m_home(m_base, m_membership, m_peers,
              std::chrono::seconds(m_settings.limits().key_retention_s()), !isIntegrated()),
       m_records(m_base, m_decisions, m_platform), m_admin(m_base),
@@ -204,7 +208,8 @@
     const auto &addresses = m_settings.addresses();
     auto server = PeerServer::listen(
             m_base, parseChecked(addresses.peer()), m_identity,
-            [this](const std::shared_ptr<PeerRequest> &request) { handlePeerRequest(request); });
+            [this](const std::shared_ptr<PeerRequest> &request) { handlePeerRequest(request); },
+            &m_memory.budget());
     if (!server)
         return failure(server.error().code, "peer address " + server.error().detail);
     m_server = std::move(server.value());
@@ -564,6 +569,7 @@
             {"owner", m_owner.dump()},
             {"gate", m_gate.dump()},
             {"home", m_home.dump()},
+            {"memory", m_memory.dump()},
             {"decision-log",
              {{"records", m_decisions.size()},
               {"bytes", m_decisions.bytes()},
@@ -590,7 +596,7 @@
     m_admin.add("/metrics", [this] {
         return AdminServer::Page {
                 "text/plain; version=0.0.4",
-                m_gate.metrics() + m_owner.metrics() + m_membership.metrics()
+                m_gate.metrics() + m_owner.metrics() + m_membership.metrics() + m_memory.metrics()
                         + prometheusSample("berylspur_platform_calls_total", "",
                                            static_cast<double>(m_platform.calls()))};
     });
--- a/src/owner/announce_server.cpp
+++ b/src/owner/announce_server.cpp
@@ -79,7 +79,7 @@
     if (request.target() != AnnouncePath)
         return refuse(request,
                       {ErrorCode::RequestUnknownRoute, "expected " + std::string(AnnouncePath)});
-    const auto announcement = parseAnnouncement(request.takeBody());
+    const auto announcement = parseAnnouncement(std::string(request.takeBody().bytes()));
     if (!announcement)
         return refuse(request, announcement.error());
     m_handler(announcement.value());
--- a/src/owner/endpoint_client.h
+++ b/src/owner/endpoint_client.h
@@ -4,6 +4,7 @@
 #include "berylspur/core/address.h"
 #include "berylspur/core/clock.h"
 #include "berylspur/core/http_headers.h"
+#include "berylspur/core/shared_body.h"
 #include "berylspur/core/timer.h"
 
 #include <functional>
@@ -36,7 +37,7 @@
     std::string method;
     std::string target;
     HeaderList headers;
-    std::string body;
+    SharedBody body;
     /// Only use a new connection, or one that completed a response very recently.
     bool freshConnection = false;
     /// Name and value of the header by which responses identify their request. A response with
--- a/src/owner/endpoint_connection.cpp
+++ b/src/owner/endpoint_connection.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <charconv>
 #include <event2/buffer.h>
+#include <memory>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <utility>
@@ -25,6 +26,8 @@
 /// Subtracted from the keep-alive timeout, so that no request is sent while the endpoint closes the
 /// connection.
 constexpr Duration KeepAliveMargin = std::chrono::seconds(2);
+/// Bodies from this size on are not copied into the output.
+constexpr std::size_t MinSharedBodyBytes = 16u << 10;
 /// Reading from the socket pauses while more input than this is buffered.
 constexpr std::size_t MaxBufferedInputBytes = 2 * ResponseReader::MaxPartBytes;
 
@@ -51,6 +54,18 @@
     return std::chrono::seconds(seconds);
 }
 
+/// Appends \a body without a copy. It is released once it is written to the socket.
+void writeShared(evbuffer *output, const SharedBody &body)
+{
+    const auto release = [](const void *, std::size_t, void *held) {
+        delete static_cast<SharedBody *>(held);
+    };
+    auto held = std::make_unique<SharedBody>(body);
+    const auto bytes = held->bytes();
+    if (evbuffer_add_reference(output, bytes.data(), bytes.size(), release, held.get()) == 0)
+        static_cast<void>(held.release()); // owned by the buffer
+}
+
 bool needsContentLength(const CallRequest &request)
 {
     return !request.body.empty() || request.method == "POST" || request.method == "PUT"
@@ -96,8 +111,13 @@
         text.append(name).append(": ").append(value).append("\r\n");
     if (needsContentLength(request))
         text.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
-    text.append("\r\n").append(request.body);
+    text.append("\r\n");
+    const bool isShared = request.body.size() >= MinSharedBodyBytes;
+    if (!isShared)
+        text.append(request.body.bytes());
     bufferevent_write(m_events, text.data(), text.size());
+    if (isShared)
+        writeShared(bufferevent_get_output(m_events), request.body);
 }
 
 void EndpointConnection::cancel()
--- a/src/owner/owned_endpoint.h
+++ b/src/owner/owned_endpoint.h
@@ -4,6 +4,7 @@
 
 #include "announce_server.h"
 #include "berylspur/admission/slot_scheduler.h"
+#include "berylspur/core/shared_body.h"
 #include "berylspur/owner/endpoint_lease.h"
 #include "berylspur/owner/gray_detector.h"
 #include "berylspur/owner/request_ledger.h"
@@ -24,12 +25,15 @@
 {
     std::shared_ptr<PeerRequest> peer;
     schema::Dispatch dispatch;
-    std::string body;
+    SharedBody body;
     RequestClass requestClass = RequestClass::Short;
     TimePoint deadline;
     TimePoint admitted; // when it was queued
     TimePoint started; // when it was sent to the endpoint
-    std::unique_ptr<EndpointCall> call; // null while queued
+    /// Null while queued. Shared, because the stream to the gate outlives the request and may only
+    /// hold a weak reference to it.
+    std::shared_ptr<EndpointCall> call;
+    MemoryReservation responseMemory; // of response.body
     StoredResponse response;
     bool isStorable = true; // the response may be stored in the ledger
     bool replied = false; // the reply envelope was sent to the gate
--- a/src/owner/owner_responses.cpp
+++ b/src/owner/owner_responses.cpp
@@ -68,14 +68,18 @@
 {
     auto &request = endpoint.requests.at(id);
     if (request.replied) {
-        streamData(endpoint, id, request, bytes);
+        streamData(request, bytes);
         return;
     }
     request.response.body.append(bytes);
-    if (request.response.body.size() <= m_bufferBytes)
+    request.responseMemory.resize(request.response.body.capacity());
+    // While memory is short, responses are streamed, since flow control bounds what is held then.
+    const bool isShort = m_memory && m_memory->isShort();
+    if (request.response.body.size() <= m_bufferBytes && !isShort)
         return;
     request.isStorable = false;
     const auto buffered = std::exchange(request.response.body, {});
+    request.responseMemory.resize(0);
     const auto code = validateResponse(request);
     if (code != ErrorCode::Ok) {
         refuse(*request.peer, request.dispatch, code, {}, &endpoint);
@@ -83,11 +87,10 @@
         return;
     }
     sendResponseHeaders(endpoint, request, std::nullopt);
-    streamData(endpoint, id, request, buffered);
+    streamData(request, buffered);
 }
 
-void OwnerTask::Impl::streamData(OwnedEndpoint &endpoint, const RequestId &id,
-                                 OwnedRequest &request, std::string_view bytes)
+void OwnerTask::Impl::streamData(OwnedRequest &request, std::string_view bytes)
 {
     constexpr auto MaxStoredBytes = RequestLedger::Limits {}.maxResponseBytes;
     request.isStorable = request.isStorable && !request.dispatch.idempotent()
@@ -99,10 +102,10 @@
     request.peer->write(bytes);
     if (request.peer->pendingBytes() > MaxPendingBytes) {
         request.call->pause();
-        request.peer->onDrained([&endpoint, id] {
-            const auto found = endpoint.requests.find(id);
-            if (found != endpoint.requests.end() && found->second.call)
-                found->second.call->resume();
+        // The stream may drain after the request has ended and its endpoint was replaced.
+        request.peer->onDrained([running = std::weak_ptr(request.call)] {
+            if (const auto call = running.lock())
+                call->resume();
         });
     }
 }
--- a/src/owner/owner_task.cpp
+++ b/src/owner/owner_task.cpp
@@ -55,8 +55,8 @@
 } // namespace
 
 OwnerTask::Impl::Impl(OwnerTask &task, event_base *base, const schema::NodeSettings &settings,
-                      Incarnation incarnation, const HeaderNames &names)
-    : m_task(task), m_base(base), m_node(settings.node().name()),
+                      Incarnation incarnation, const HeaderNames &names, MemoryBudget *memory)
+    : m_task(task), m_base(base), m_memory(memory), m_node(settings.node().name()),
       m_announceAddress(settings.addresses().announce()), m_names(names),
       m_listensForAnnouncements(settings.integration().mode() == schema::INTEGRATION_NONE),
       m_leaseTerm(settings.integration().endpoint_lease_ms() == 0
@@ -185,6 +185,7 @@
     }
     request.peer = peer;
     request.body = peer->takePayload();
+    request.responseMemory = MemoryReservation(m_memory, MemoryUse::Responses);
     request.admitted = now;
     request.deadline = now + remaining - age;
     request.requestClass = endpoint->scheduler.effectiveClass(
@@ -534,8 +535,8 @@
 }
 
 OwnerTask::OwnerTask(event_base *base, const schema::NodeSettings &settings,
-                     Incarnation incarnation, const HeaderNames &names)
-    : m_impl(std::make_unique<Impl>(*this, base, settings, incarnation, names))
+                     Incarnation incarnation, const HeaderNames &names, MemoryBudget *memory)
+    : m_impl(std::make_unique<Impl>(*this, base, settings, incarnation, names, memory))
 {
 }
 
--- a/src/owner/owner_task_impl.h
+++ b/src/owner/owner_task_impl.h
@@ -35,7 +35,7 @@
 {
 public:
     Impl(OwnerTask &task, event_base *base, const schema::NodeSettings &settings,
-         Incarnation incarnation, const HeaderNames &names);
+         Incarnation incarnation, const HeaderNames &names, MemoryBudget *memory);
 
     Result<void> start();
     bool handleAnnouncement(const Announcement &announcement);
@@ -103,8 +103,7 @@
     void onResponseData(OwnedEndpoint &endpoint, const RequestId &id, std::string_view bytes);
     /// Checks a response. Returns Ok if it may be forwarded to the gate.
     ErrorCode validateResponse(const OwnedRequest &request) const;
-    void streamData(OwnedEndpoint &endpoint, const RequestId &id, OwnedRequest &request,
-                    std::string_view bytes);
+    static void streamData(OwnedRequest &request, std::string_view bytes);
     void onEndpointResponseEnd(OwnedEndpoint &endpoint, const RequestId &id, CallResult end);
     void onGateDisconnected(const std::string &endpointId, const RequestId &id);
     /// Removes an open request and frees its slot.
@@ -134,6 +133,7 @@
 
     OwnerTask &m_task;
     event_base *m_base;
+    MemoryBudget *m_memory; // null: nothing is counted
     std::string m_node;
     std::string m_announceAddress;
     HeaderNames m_names;
--- a/src/transport/http2_connection.cpp
+++ b/src/transport/http2_connection.cpp
@@ -2,6 +2,7 @@
 // written together.
 #include "http2_connection.h"
 
+#include "berylspur/core/log.h"
 #include "berylspur/transport/peer.h"
 
 #include <algorithm>
@@ -98,8 +99,9 @@
 }
 
 Http2Connection::Http2Connection(event_base *base, bufferevent *buffer, Http2Role role,
-                                 Http2Listener *listener)
-    : m_buffer(buffer), m_flush(event_new(base, -1, 0, onFlush, this)), m_listener(listener)
+                                 Http2Listener *listener, MemoryBudget *memory)
+    : m_buffer(buffer), m_flush(event_new(base, -1, 0, onFlush, this)), m_listener(listener),
+      m_memory(memory)
 {
     nghttp2_option *option = nullptr;
     nghttp2_option_new(&option);
@@ -130,19 +132,26 @@
     bufferevent_free(m_buffer);
 }
 
-std::int32_t Http2Connection::request(const std::string &path, std::string body)
+std::int32_t Http2Connection::request(const std::string &path, std::string start, SharedBody body,
+                                      const std::string &name, const std::string &value)
 {
+    constexpr std::size_t CommonHeaders = 3;
+    // The name of the last header may be temporary, so nghttp2 copies it.
+    auto last = header(name, value);
+    last.flags = NGHTTP2_NV_FLAG_NONE;
     const nghttp2_nv headers[] = {header(":method", "POST"), header(":scheme", "http"),
-                                  header(":path", path)};
+                                  header(":path", path), last};
+    const auto count = CommonHeaders + (name.empty() ? 0 : 1);
     nghttp2_data_provider provider {};
     provider.source.ptr = this;
     provider.read_callback = readOutput;
-    const auto stream = nghttp2_submit_request(m_session, nullptr, headers, std::size(headers),
-                                               &provider, nullptr);
+    const auto stream =
+            nghttp2_submit_request(m_session, nullptr, headers, count, &provider, nullptr);
     if (stream < 0)
         return stream;
     auto &output = m_outputs[stream];
-    output.bytes = std::move(body);
+    output.bytes = std::move(start);
+    output.body = std::move(body);
     output.finished = true;
     scheduleFlush();
     return stream;
@@ -166,7 +175,8 @@
         return;
     auto &output = found->second;
     output.bytes.append(bytes);
-    const bool large = output.bytes.size() - output.offset >= StreamWindowBytes / 2;
+    countOutput(stream, output);
+    const bool large = output.pending() >= StreamWindowBytes / 2;
     if (large && !std::exchange(output.backlogged, true))
         m_backlogged.push_back(stream);
     if (std::exchange(output.deferred, false))
@@ -185,9 +195,26 @@
     scheduleFlush();
 }
 
-void Http2Connection::reset(std::int32_t stream)
+void Http2Connection::countOutput(std::int32_t stream, Output &output)
 {
-    nghttp2_submit_rst_stream(m_session, NGHTTP2_FLAG_NONE, stream, NGHTTP2_INTERNAL_ERROR);
+    constexpr std::size_t MinCountedBytes = 16u << 10;
+    if (!m_memory || (!output.memory && output.pending() < MinCountedBytes))
+        return;
+    if (!output.memory) {
+        MemoryHolder::Callbacks callbacks;
+        callbacks.close = [this, stream] {
+            log::info("response-closed-for-memory", {{"bytes", pendingBytes(stream)}});
+            reset(stream);
+        };
+        output.memory = std::make_unique<MemoryHolder>(m_memory, MemoryUse::Responses,
+                                                       std::move(callbacks));
+    }
+    output.memory->hold(output.pending());
+}
+
+void Http2Connection::reset(std::int32_t stream, std::uint32_t error)
+{
+    nghttp2_submit_rst_stream(m_session, NGHTTP2_FLAG_NONE, stream, error);
     m_outputs.erase(stream);
     scheduleFlush();
 }
@@ -216,14 +243,14 @@
 std::size_t Http2Connection::pendingBytes(std::int32_t stream) const
 {
     const auto found = m_outputs.find(stream);
-    return found == m_outputs.end() ? 0 : found->second.bytes.size() - found->second.offset;
+    return found == m_outputs.end() ? 0 : found->second.pending();
 }
 
 bool Http2Connection::hasUnsentOutput() const
 {
     const auto isUnsent = [](const auto &item) {
         const auto &output = item.second;
-        return output.finished || output.offset < output.bytes.size();
+        return output.finished || output.pending() > 0;
     };
     return evbuffer_get_length(bufferevent_get_output(m_buffer)) > 0
            || std::any_of(m_outputs.begin(), m_outputs.end(), isUnsent);
@@ -238,6 +265,8 @@
     if (found == self->m_outputs.end())
         return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
     auto &output = found->second;
+    if (output.offset == output.bytes.size() && output.bodyOffset < output.body.size())
+        return self->readBody(output, buffer, length, flags);
     const auto part = std::min(length, output.bytes.size() - output.offset);
     if (part == 0 && !output.finished) {
         output.deferred = true;
@@ -246,15 +275,36 @@
     std::copy_n(output.bytes.data() + output.offset, part, buffer);
     output.offset += part;
     if (output.offset >= StreamWindowBytes) {
-        output.bytes.erase(0, output.offset);
+        // A large response gives its storage back as it is sent.
+        constexpr std::size_t MaxKeptBytes = 4 * StreamWindowBytes;
+        if (output.bytes.capacity() > MaxKeptBytes)
+            output.bytes = output.bytes.substr(output.offset);
+        else
+            output.bytes.erase(0, output.offset);
         output.offset = 0;
     }
     if (output.offset == output.bytes.size()) {
         output.bytes.clear();
         output.offset = 0;
-        if (output.finished)
+        if (output.finished && output.pending() == 0)
             *flags |= NGHTTP2_DATA_FLAG_EOF;
     }
+    if (output.memory && part > 0) {
+        output.memory->progressed(BootClock::now());
+        self->countOutput(stream, output);
+    }
+    return static_cast<ssize_t>(part);
+}
+
+ssize_t Http2Connection::readBody(Output &output, std::uint8_t *buffer, std::size_t length,
+                                  std::uint32_t *flags)
+{
+    const auto rest = output.body.bytes().substr(output.bodyOffset);
+    const auto part = std::min(length, rest.size());
+    std::copy_n(rest.data(), part, buffer);
+    output.bodyOffset += part;
+    if (part == rest.size() && output.finished)
+        *flags |= NGHTTP2_DATA_FLAG_EOF;
     return static_cast<ssize_t>(part);
 }
 
--- a/src/transport/http2_connection.h
+++ b/src/transport/http2_connection.h
@@ -2,10 +2,13 @@
 #pragma once
 
 #include "berylspur/core/clock.h"
+#include "berylspur/core/memory_budget.h"
+#include "berylspur/core/shared_body.h"
 
 #include <cstdint>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
+#include <memory>
 #include <nghttp2/nghttp2.h>
 #include <string>
 #include <string_view>
@@ -42,20 +45,23 @@
 class Http2Connection
 {
 public:
-    /// Takes ownership of \a buffer.
-    Http2Connection(event_base *base, bufferevent *buffer, Http2Role role, Http2Listener *listener);
+    /// Takes ownership of \a buffer. \a memory counts the output of write(); null: it is not
+    /// counted.
+    Http2Connection(event_base *base, bufferevent *buffer, Http2Role role, Http2Listener *listener,
+                    MemoryBudget *memory = nullptr);
     ~Http2Connection();
     Http2Connection(const Http2Connection &) = delete;
     Http2Connection &operator=(const Http2Connection &) = delete;
 
-    /// Opens a stream and sends \a body (client). Returns the stream id, or a negative nghttp2
-    /// error code.
-    std::int32_t request(const std::string &path, std::string body);
+    /// Opens a stream and sends \a start, then \a body (client), with a header if \a name is not
+    /// empty. Returns the stream id, or a negative nghttp2 error code.
+    std::int32_t request(const std::string &path, std::string start, SharedBody body = {},
+                         const std::string &name = {}, const std::string &value = {});
     /// Starts a response (server). Its body is sent by write() and completed by finish().
     void respond(std::int32_t stream);
     void write(std::int32_t stream, std::string_view bytes);
     void finish(std::int32_t stream);
-    void reset(std::int32_t stream);
+    void reset(std::int32_t stream, std::uint32_t error = NGHTTP2_INTERNAL_ERROR);
     void ping(std::uint64_t opaque);
     void goAway();
 
@@ -75,9 +81,14 @@
     {
         std::string bytes;
         std::size_t offset = 0; // bytes before it were passed to nghttp2
+        SharedBody body; // sent after bytes
+        std::size_t bodyOffset = 0;
+        std::unique_ptr<MemoryHolder> memory; // null while there is little output
         bool finished = false;
         bool deferred = false; // nghttp2 waits for nghttp2_session_resume_data()
         bool backlogged = false; // in m_backlogged
+
+        std::size_t pending() const { return bytes.size() - offset + body.size() - bodyOffset; }
     };
 
     static void onRead(bufferevent *buffer, void *self);
@@ -87,8 +98,12 @@
     static ssize_t readOutput(nghttp2_session *session, std::int32_t stream, std::uint8_t *buffer,
                               std::size_t length, std::uint32_t *flags, nghttp2_data_source *source,
                               void *self);
+    static ssize_t readBody(Output &output, std::uint8_t *buffer, std::size_t length,
+                            std::uint32_t *flags);
     static nghttp2_session_callbacks *callbacks();
 
+    /// Counts the unsent bytes of a response. The stream is reset if memory is needed.
+    void countOutput(std::int32_t stream, Output &output);
     void scheduleFlush();
     void flush();
     void notifyDrained();
@@ -98,6 +113,7 @@
     event *m_flush;
     nghttp2_session *m_session = nullptr;
     Http2Listener *m_listener;
+    MemoryBudget *m_memory;
     std::unordered_map<std::int32_t, Output> m_outputs;
     std::vector<std::int32_t> m_backlogged; // streams awaiting onDrained()
     bool m_flushScheduled = false;
--- a/src/transport/peer_channel.cpp
+++ b/src/transport/peer_channel.cpp
@@ -3,6 +3,7 @@
 #include "berylspur/transport/peer.h"
 #include "envelope.h"
 #include "http2_connection.h"
+#include "local_payloads.h"
 #include "peer_names.h"
 
 #include <algorithm>
@@ -25,7 +26,7 @@
 {
 public:
     ClientExchange(std::weak_ptr<ChannelCore> core, PeerMethod method,
-                   std::function<std::string(std::uint64_t)> envelope, std::string payload,
+                   std::function<std::string(std::uint64_t)> envelope, SharedBody payload,
                    ExchangeHandler handler)
         : m_core(std::move(core)), m_method(method), m_makeEnvelope(std::move(envelope)),
           m_payload(std::move(payload)), m_handler(std::move(handler))
@@ -39,7 +40,19 @@
     PeerMethod method() const { return m_method; }
     std::int32_t stream() const { return m_stream; }
     void assignStream(std::int32_t stream) { m_stream = stream; }
-    std::string takeBody(std::uint64_t lastTick);
+    /// The framed envelope.
+    std::string makeStart(std::uint64_t lastTick)
+    {
+        return frameEnvelope(m_makeEnvelope(lastTick));
+    }
+    std::size_t payloadSize() const { return m_payload.size(); }
+    SharedBody takePayload() { return std::exchange(m_payload, {}); }
+    /// Offers the payload to the server of this process. Returns its number.
+    std::uint64_t offerPayload()
+    {
+        m_offer = LocalPayloads::instance().offer(takePayload());
+        return m_offer->number();
+    }
     void receive(std::string_view bytes);
     void markPeerFinished() { m_peerFinished = true; }
     void end(ErrorCode code);
@@ -50,7 +63,8 @@
     std::weak_ptr<ChannelCore> m_core;
     PeerMethod m_method;
     std::function<std::string(std::uint64_t)> m_makeEnvelope;
-    std::string m_payload;
+    SharedBody m_payload; // until it is sent
+    std::unique_ptr<LocalPayloads::Offer> m_offer; // until the exchange ends
     ExchangeHandler m_handler; // cleared when the exchange ends
     EnvelopeReader m_reader;
     std::int32_t m_stream = 0; // 0: not sent
@@ -113,6 +127,7 @@
     void sendPing(TimePoint now);
     void sendPending();
     void send(const std::shared_ptr<ClientExchange> &exchange);
+    std::int32_t submit(const std::string &path, ClientExchange &exchange);
     void fail(ErrorCode code);
     std::shared_ptr<ClientExchange> find(std::int32_t stream) const;
 
@@ -124,6 +139,7 @@
     std::deque<std::shared_ptr<ClientExchange>> m_pending; // not yet sent
     std::unordered_map<std::int32_t, std::shared_ptr<ClientExchange>> m_open;
     bool m_accepted = false; // the peer accepted /hello
+    bool m_isOwnProcess = false; // the peer is the server of this process
     bool m_failed = false;
     bool m_draining = false; // open exchanges continue; new ones need a new channel
     std::uint64_t m_lastTick = 0;
@@ -147,15 +163,11 @@
     if (std::exchange(m_ended, true))
         return;
     m_handler = {};
+    m_offer.reset();
     if (const auto core = m_core.lock())
         core->cancel(*this);
 }
 
-std::string ClientExchange::takeBody(std::uint64_t lastTick)
-{
-    return frameEnvelope(m_makeEnvelope(lastTick)) + std::exchange(m_payload, {});
-}
-
 void ClientExchange::receive(std::string_view bytes)
 {
     const auto self = shared_from_this();
@@ -182,6 +194,7 @@
 {
     if (std::exchange(m_ended, true))
         return;
+    m_offer.reset();
     const auto handler = std::exchange(m_handler, {});
     if (handler.ended)
         handler.ended(code);
@@ -192,6 +205,9 @@
     // RFC 9113, 8.7: a stream with REFUSED_STREAM was not processed by the peer.
     if (error == NGHTTP2_REFUSED_STREAM)
         return ErrorCode::NotRunStopping;
+    // Sent only before the request is passed to its handler.
+    if (error == NGHTTP2_ENHANCE_YOUR_CALM)
+        return ErrorCode::NotRunMemory;
     const bool complete = error == 0 && m_peerFinished && m_replied;
     return complete ? ErrorCode::Ok : ErrorCode::AnswerTruncated;
 }
@@ -234,7 +250,7 @@
     handler.reply = [this](const std::string &envelope) { onHelloReply(envelope); };
     const auto exchange = std::make_shared<ClientExchange>(
             weak_from_this(), PeerMethod::Hello,
-            [text = hello.SerializeAsString()](std::uint64_t) { return text; }, std::string(),
+            [text = hello.SerializeAsString()](std::uint64_t) { return text; }, SharedBody(),
             std::move(handler));
     send(exchange);
 }
@@ -252,6 +268,8 @@
     }
     m_peerIncarnation = reply.incarnation();
     m_accepted = true;
+    m_isOwnProcess =
+            reply.node() == m_identity.node && reply.incarnation() == m_identity.incarnation;
     m_lastRoundTripStart = m_pingSentAt.value_or(BootClock::now());
     m_pingSentAt.reset();
     // Exchanges echo a tick. The server sends the first one with this reply; it may arrive before
@@ -313,7 +331,7 @@
 void ChannelCore::send(const std::shared_ptr<ClientExchange> &exchange)
 {
     const std::string path(enumName(PeerMethodPaths, exchange->method()));
-    const auto stream = m_http->request(path, exchange->takeBody(m_lastTick));
+    const auto stream = submit(path, *exchange);
     if (stream < 0) {
         exchange->end(ErrorCode::PeerConnectionLost);
         return;
@@ -325,6 +343,19 @@
     m_open.emplace(stream, exchange);
 }
 
+std::int32_t ChannelCore::submit(const std::string &path, ClientExchange &exchange)
+{
+    auto start = exchange.makeStart(m_lastTick);
+    const auto size = exchange.payloadSize();
+    if (size < MinAnnouncedPayloadBytes)
+        return m_http->request(path, std::move(start), exchange.takePayload());
+    if (m_isOwnProcess)
+        return m_http->request(path, std::move(start), {}, std::string(LocalPayloadHeader),
+                               std::to_string(exchange.offerPayload()));
+    return m_http->request(path, std::move(start), exchange.takePayload(),
+                           std::string(PayloadSizeHeader), std::to_string(size));
+}
+
 void ChannelCore::cancel(ClientExchange &exchange)
 {
     std::erase_if(m_pending, [&](const auto &other) { return other.get() == &exchange; });
@@ -414,7 +445,7 @@
 
     std::shared_ptr<PeerExchange> start(PeerMethod method,
                                         const std::function<std::string(std::uint64_t)> &envelope,
-                                        std::string payload, ExchangeHandler handler) override
+                                        SharedBody payload, ExchangeHandler handler) override
     {
         auto exchange = std::make_shared<ClientExchange>(m_core, method, envelope,
                                                          std::move(payload), std::move(handler));
--- a/src/transport/peer_names.h
+++ b/src/transport/peer_names.h
@@ -4,6 +4,9 @@
 #include "berylspur/core/enum_table.h"
 #include "berylspur/transport/peer.h"
 
+#include <cstddef>
+#include <string_view>
+
 namespace berylspur {
 
 inline constexpr EnumTable<PeerMethod, 8> PeerMethodPaths {{
@@ -17,4 +20,12 @@
         {PeerMethod::KeyHandover, "/key-handover"},
 }};
 
+/// Request header with the size of a large payload, so that the server can reserve memory for it.
+inline constexpr std::string_view PayloadSizeHeader = "payload-bytes";
+/// Request header with the number of a payload that both ends hold in the same process, in place of
+/// its bytes.
+inline constexpr std::string_view LocalPayloadHeader = "local-payload";
+/// Payloads from this size on are announced by one of these headers.
+inline constexpr std::size_t MinAnnouncedPayloadBytes = 64u << 10;
+
 } // namespace berylspur
--- a/src/transport/peer_server.cpp
+++ b/src/transport/peer_server.cpp
@@ -4,10 +4,12 @@
 #include "berylspur/transport/peer.h"
 #include "envelope.h"
 #include "http2_connection.h"
+#include "local_payloads.h"
 #include "peer_names.h"
 
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <event2/listener.h>
 #include <netinet/tcp.h>
 #include <unordered_map>
@@ -39,7 +41,12 @@
 
     PeerMethod method() const override { return m_method; }
     const std::string &envelope() const override { return m_reader.envelope(); }
-    std::string takePayload() override { return std::move(m_payload); }
+    SharedBody takePayload() override
+    {
+        if (!m_localPayload.empty())
+            return std::exchange(m_localPayload, {});
+        return {std::move(m_payload), std::move(m_memory)};
+    }
     const PeerIdentity &peer() const override { return m_peer; }
     Duration maxTransitTime(std::uint64_t tick, Duration held) const override;
     void reply(std::string envelope) override;
@@ -66,6 +73,10 @@
     bool m_finished = false;
     EnvelopeReader m_reader;
     std::string m_payload;
+    MemoryReservation m_memory; // of m_payload
+    std::size_t m_payloadSize = 0; // as announced by the client; 0: not announced
+    std::uint64_t m_localNumber = 0; // 0: the payload comes with the stream
+    SharedBody m_localPayload;
     PeerIdentity m_peer;
     std::function<void()> m_onDrained;
     std::function<void()> m_onClosed;
@@ -76,7 +87,8 @@
 class ServerConnection : public Http2Listener, public std::enable_shared_from_this<ServerConnection>
 {
 public:
-    ServerConnection(ServerImpl *server, event_base *base, bufferevent *buffer);
+    ServerConnection(ServerImpl *server, event_base *base, bufferevent *buffer,
+                     MemoryBudget *memory);
 
     Http2Connection &http() { return m_http; }
     Duration maxTransitTime(std::uint64_t tick, Duration held) const;
@@ -103,9 +115,15 @@
     friend class ServerStream;
 
     void handleHello(ServerStream &stream);
+    /// Reserves memory for the announced payload. Resets the stream if there is none.
+    void reservePayload(ServerStream &stream);
+    void appendPayload(ServerStream &stream, std::string_view bytes);
+    /// Finds a payload that the client of this process offers. Returns false if it was withdrawn.
+    bool takeLocalPayload(ServerStream &stream) const;
     ErrorCode checkHello(const schema::Hello &hello) const;
 
     ServerImpl *m_server;
+    MemoryBudget *m_memory;
     Http2Connection m_http;
     std::unordered_map<std::int32_t, std::shared_ptr<ServerStream>> m_streams;
     PeerIdentity m_peer; // empty until an accepted /hello
@@ -119,8 +137,9 @@
 class ServerImpl : public PeerServer
 {
 public:
-    ServerImpl(event_base *base, PeerIdentity identity, Handler handler)
-        : m_base(base), m_identity(std::move(identity)), m_handler(std::move(handler))
+    ServerImpl(event_base *base, PeerIdentity identity, Handler handler, MemoryBudget *memory)
+        : m_base(base), m_identity(std::move(identity)), m_handler(std::move(handler)),
+          m_memory(memory)
     {
     }
     ~ServerImpl() override
@@ -167,13 +186,14 @@
         const int on = 1;
         setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
         auto *buffer = bufferevent_socket_new(server->m_base, socket, BEV_OPT_CLOSE_ON_FREE);
-        server->m_connections.insert(
-                std::make_shared<ServerConnection>(server, server->m_base, buffer));
+        server->m_connections.insert(std::make_shared<ServerConnection>(server, server->m_base,
+                                                                        buffer, server->m_memory));
     }
 
     event_base *m_base;
     PeerIdentity m_identity;
     Handler m_handler;
+    MemoryBudget *m_memory;
     evconnlistener *m_listener = nullptr;
     std::unordered_set<std::shared_ptr<ServerConnection>> m_connections;
 };
@@ -220,8 +240,9 @@
         connection->http().reset(m_id);
 }
 
-ServerConnection::ServerConnection(ServerImpl *server, event_base *base, bufferevent *buffer)
-    : m_server(server), m_http(base, buffer, Http2Role::Server, this)
+ServerConnection::ServerConnection(ServerImpl *server, event_base *base, bufferevent *buffer,
+                                   MemoryBudget *memory)
+    : m_server(server), m_memory(memory), m_http(base, buffer, Http2Role::Server, this, memory)
 {
     bufferevent_set_timeouts(buffer, &ClientReadTimeout, nullptr);
 }
@@ -255,12 +276,59 @@
 void ServerConnection::onHeader(std::int32_t stream, std::string_view name, std::string_view value)
 {
     const auto found = m_streams.find(stream);
-    if (found == m_streams.end() || name != ":path")
+    if (found == m_streams.end())
+        return;
+    auto &request = *found->second;
+    const auto parse = [value](auto &number) {
+        std::from_chars(value.data(), value.data() + value.size(), number);
+    };
+    if (name == PayloadSizeHeader) {
+        parse(request.m_payloadSize);
+        reservePayload(request);
+    } else if (name == LocalPayloadHeader) {
+        parse(request.m_localNumber);
+    } else if (name == ":path") {
+        if (const auto method = enumValue(PeerMethodPaths, value)) {
+            request.m_method = *method;
+            request.m_methodKnown = true;
+        }
+    }
+}
+
+void ServerConnection::reservePayload(ServerStream &stream)
+{
+    const auto size = stream.m_payloadSize;
+    if (size > MaxPayloadBytes || (m_memory && !m_memory->fits(size))) {
+        if (m_memory)
+            m_memory->countRefusal();
+        stream.m_payloadSize = 0;
+        m_http.reset(stream.m_id, NGHTTP2_ENHANCE_YOUR_CALM);
         return;
-    if (const auto method = enumValue(PeerMethodPaths, value)) {
-        found->second->m_method = *method;
-        found->second->m_methodKnown = true;
     }
+    stream.m_memory = MemoryReservation(m_memory, MemoryUse::PeerBodies, size);
+}
+
+void ServerConnection::appendPayload(ServerStream &stream, std::string_view bytes)
+{
+    auto &payload = stream.m_payload;
+    if (payload.empty() && stream.m_payloadSize > 0)
+        payload.reserve(stream.m_payloadSize);
+    payload.append(bytes);
+    if (payload.size() <= stream.m_payloadSize)
+        return;
+    stream.m_payloadSize = 0;
+    stream.m_memory = MemoryReservation(m_memory, MemoryUse::PeerBodies, payload.capacity());
+    if (payload.size() > MaxPayloadBytes)
+        m_http.reset(stream.m_id);
+}
+
+bool ServerConnection::takeLocalPayload(ServerStream &stream) const
+{
+    // Numbers of other processes mean nothing here.
+    const auto &own = m_server->identity();
+    if (m_peer.node == own.node && m_peer.incarnation == own.incarnation)
+        stream.m_localPayload = LocalPayloads::instance().find(stream.m_localNumber);
+    return !stream.m_localPayload.empty();
 }
 
 void ServerConnection::onData(std::int32_t stream, std::string_view bytes)
@@ -270,9 +338,8 @@
     if (found == m_streams.end())
         return;
     auto &request = *found->second;
-    request.m_payload.append(request.m_reader.feed(bytes));
-    if (request.m_payload.size() > MaxPayloadBytes)
-        m_http.reset(stream);
+    if (const auto payload = request.m_reader.feed(bytes); !payload.empty())
+        appendPayload(request, payload);
 }
 
 void ServerConnection::onEndOfStream(std::int32_t stream)
@@ -288,6 +355,11 @@
         m_http.reset(stream);
         return;
     }
+    if (request->m_localNumber != 0 && !takeLocalPayload(*request)) {
+        // The client ended the exchange. Without its payload the request must not run.
+        m_http.reset(stream, NGHTTP2_REFUSED_STREAM);
+        return;
+    }
     if (request->m_method == PeerMethod::Hello)
         handleHello(*request);
     else
@@ -363,9 +435,11 @@
 } // namespace
 
 Result<std::unique_ptr<PeerServer>> PeerServer::listen(event_base *base, const Address &address,
-                                                       PeerIdentity identity, Handler handler)
+                                                       PeerIdentity identity, Handler handler,
+                                                       MemoryBudget *memory)
 {
-    auto server = std::make_unique<ServerImpl>(base, std::move(identity), std::move(handler));
+    auto server =
+            std::make_unique<ServerImpl>(base, std::move(identity), std::move(handler), memory);
     if (auto opened = server->open(address); !opened)
         return failure(opened.error().code, opened.error().detail);
     return std::unique_ptr<PeerServer>(std::move(server));
--- a/tests/http_caller_test.cpp
+++ b/tests/http_caller_test.cpp
@@ -205,7 +205,7 @@
     BOOST_TEST(waitFor(caller, "Code: Ok\r\n"), caller.received);
     BOOST_TEST(requests.size() == 1U);
     BOOST_TEST(requests.front()->header(name) == (name == "Host" ? "h" : ""));
-    BOOST_TEST(requests.front()->takeBody() == "abc");
+    BOOST_TEST(std::string(requests.front()->takeBody().bytes()) == "abc");
 }
 
 // Guards against responses in the wrong order when requests are pipelined.
--- a/tests/http_pipelining_test.cpp
+++ b/tests/http_pipelining_test.cpp
@@ -276,7 +276,7 @@
     BOOST_TEST(caller.received.find("</0>") < caller.received.find("100 Continue"));
     caller.send("abc");
     BOOST_REQUIRE(waitForRequests(2));
-    BOOST_TEST(requests[1]->takeBody() == "abc");
+    BOOST_TEST(std::string(requests[1]->takeBody().bytes()) == "abc");
     answer(1);
     BOOST_TEST(waitFor(caller, "</1>"));
 }
