Test the memory budget, the limits of callers and shared payloads

Change: tables of unit tests; process_overload_test also checks that freed memory returns to the system, and 1 and 8 uploads of 60 MiB at once.

--- a/tests/process_overload_test.cpp
+++ b/tests/process_overload_test.cpp
@@ -13,6 +13,7 @@
 #include <cstddef>
 #include <filesystem>
 #include <fstream>
+#include <future>
 #include <iostream>
 #include <netinet/in.h>
 #include <optional>
@@ -45,6 +46,8 @@
 /// MaxConnections, the connections to the endpoint (48 long slots), and those of the node itself.
 constexpr std::size_t MaxDescriptors = 150;
 
+constexpr long MaxKeptKiB = 30 << 10; ///< above the idle size, after the misuse
+
 constexpr std::size_t Crowd = 48; ///< connections of kinds that send or take many bytes
 constexpr std::size_t LargeCrowd = 160; ///< connections of kinds that only stay open
 constexpr std::size_t ResponseBytes = 900000; ///< below the node's response-buffer-bytes
@@ -332,9 +335,45 @@
     BOOST_TEST(peakKiB > 0);
     BOOST_TEST(peakKiB < MaxMemoryKiB);
     BOOST_TEST(descriptors < MaxDescriptors);
+    // Freed memory must return to the system; the time limit only guards against a hang.
+    BOOST_TEST(waitFor([&] { return statusKiB(node.id(), "VmRSS:") < idleKiB + MaxKeptKiB; }));
     BOOST_TEST(waitFor([&fleet] {
         return call(fleet.node(0).caller, "GET", "/read/after?work-ms=1", {"X-Request-Id: after"})
                        .status
                == 200;
     }));
 }
+
+// Guards against uploads within the limits that together exceed the memory of the host, and against
+// one that is not served although it is alone.
+BOOST_DATA_TEST_CASE(large_uploads_stay_within_the_memory, data::make({1, 8}), uploads)
+{
+    constexpr std::size_t UploadBytes = 60u << 20;
+    constexpr long MaxUploadKiB = 200 << 10;
+    FleetOptions options;
+    options.nodes = 1;
+    options.onPlatform = true;
+    options.limits = {"max-body-bytes: 67108864"};
+    Fleet fleet(options);
+    BOOST_REQUIRE_EQUAL(fleet.start(), "");
+    auto &node = fleet.nodeProcess(0);
+    const auto idleKiB = statusKiB(node.id(), "VmRSS:");
+    const std::string body(UploadBytes, 'x');
+    std::vector<std::future<Response>> calls;
+    for (int i = 0; i < uploads; ++i) {
+        calls.push_back(std::async(std::launch::async, [&] {
+            return call(fleet.node(0).caller, "POST", "/write/x?work-ms=1",
+                        {"X-Request-Id: upload"}, body);
+        }));
+    }
+    int served = 0;
+    for (auto &sent : calls)
+        served += sent.get().status == 200 ? 1 : 0;
+    const auto peakKiB = statusKiB(node.id(), "VmHWM:");
+    std::cout << uploads << " uploads: " << served << " served, idle " << idleKiB << " KiB, peak "
+              << peakKiB << " KiB\n";
+    BOOST_TEST(!node.waitForExit(milliseconds(0)).has_value());
+    BOOST_TEST(peakKiB < MaxUploadKiB);
+    BOOST_TEST((uploads > 1 || served == 1));
+    BOOST_TEST(waitFor([&] { return statusKiB(node.id(), "VmRSS:") < idleKiB + MaxKeptKiB; }));
+}
--- a/tests/transport_test.cpp
+++ b/tests/transport_test.cpp
@@ -11,7 +11,9 @@
 #include <boost/test/unit_test.hpp>
 #include <event2/listener.h>
 #include <memory>
+#include <ostream>
 #include <utility>
+#include <vector>
 
 using namespace berylspur;
 
@@ -252,3 +254,107 @@
     BOOST_TEST(loop.runUntil([&] { return failures == 3; }));
     BOOST_TEST(pool.size() == 1U);
 }
+
+struct PayloadCase
+{
+    const char *guards; ///< failure that the case guards against
+    std::size_t bytes;
+    PeerIdentity client;
+    bool isShared; ///< both ends hold the same bytes
+};
+
+std::ostream &operator<<(std::ostream &out, const PayloadCase &sample)
+{
+    return out << sample.guards;
+}
+
+const std::vector<PayloadCase> Payloads {
+        {"a small payload is lost", 100, ClientIdentity, false},
+        {"a large payload is cut", 3000000, ClientIdentity, false},
+        {"a large payload within a process is copied", 3000000, ServerIdentity, true},
+        {"a small payload within a process is lost", 100, ServerIdentity, false},
+        {"another incarnation of the node is taken for the same process",
+         3000000,
+         {"fleet", "server", 6},
+         false},
+};
+
+// Guards against payloads that are lost, cut, or held more often than needed. Each case names the
+// failure it guards against.
+BOOST_DATA_TEST_CASE(payload_arrives_complete, boost::unit_test::data::make(Payloads), sample)
+{
+    Loop loop;
+    MemoryBudget memory(8u << 20);
+    const auto address = freeAddress();
+    SharedBody received;
+    auto server = PeerServer::listen(
+            loop.base, address, ServerIdentity,
+            [&](const std::shared_ptr<PeerRequest> &request) {
+                received = request->takePayload();
+                request->reply("done");
+                request->finish();
+            },
+            &memory);
+    BOOST_REQUIRE(server.has_value());
+    const auto channel = PeerChannel::connect(loop.base, address, sample.client);
+    const SharedBody sent(std::string(sample.bytes, 'x'));
+    ReceivedResponse response;
+    const auto exchange = channel->start(PeerMethod::Ask, emptyEnvelope, sent, response.handler());
+    BOOST_TEST(loop.runUntil([&] { return response.ended.has_value(); }));
+    BOOST_TEST((response.ended == ErrorCode::Ok));
+    BOOST_TEST((received.bytes() == sent.bytes()));
+    BOOST_TEST((received.bytes().data() == sent.bytes().data()) == sample.isShared);
+    BOOST_TEST(memory.used() == (sample.isShared ? 0U : memory.used(MemoryUse::PeerBodies)));
+    received = {};
+    BOOST_TEST(memory.used() == 0U);
+}
+
+// Guards against a payload that takes memory which the node does not have, and against a refusal
+// that leaves open whether the request has run.
+BOOST_AUTO_TEST_CASE(payload_over_the_memory_is_refused_before_it_is_handled)
+{
+    Loop loop;
+    MemoryBudget memory(1u << 20);
+    const auto address = freeAddress();
+    int handled = 0;
+    auto server = PeerServer::listen(
+            loop.base, address, ServerIdentity,
+            [&](const std::shared_ptr<PeerRequest> &) { ++handled; }, &memory);
+    BOOST_REQUIRE(server.has_value());
+    const auto channel = PeerChannel::connect(loop.base, address, ClientIdentity);
+    ReceivedResponse response;
+    const auto exchange = channel->start(PeerMethod::Ask, emptyEnvelope, std::string(2u << 20, 'x'),
+                                         response.handler());
+    BOOST_TEST(loop.runUntil([&] { return response.ended.has_value(); }));
+    BOOST_TEST((response.ended == ErrorCode::NotRunMemory));
+    BOOST_TEST(handled == 0);
+    BOOST_TEST(memory.used() == 0U);
+}
+
+// Guards against responses that a peer does not read and that are held when their memory is needed,
+// and against such a response that looks complete.
+BOOST_AUTO_TEST_CASE(unread_response_is_cut_when_memory_is_needed)
+{
+    Loop loop;
+    MemoryBudget memory(1u << 20);
+    const auto address = freeAddress();
+    auto server = PeerServer::listen(
+            loop.base, address, ServerIdentity,
+            [&](const std::shared_ptr<PeerRequest> &request) {
+                request->reply("reply");
+                request->write(std::string(3u << 20, 'x'));
+                request->finish();
+            },
+            &memory);
+    BOOST_REQUIRE(server.has_value());
+    const auto channel = PeerChannel::connect(loop.base, address, ClientIdentity);
+    ReceivedResponse response;
+    const auto exchange =
+            channel->start(PeerMethod::Ask, emptyEnvelope, "", response.handler(nullptr));
+    BOOST_REQUIRE(loop.runUntil([&] { return !response.payload.empty(); }));
+    BOOST_TEST(memory.used(MemoryUse::Responses) > memory.limit());
+    memory.relieve(BootClock::now());
+    BOOST_TEST(loop.runUntil([&] { return response.ended.has_value(); }));
+    BOOST_TEST((response.ended == ErrorCode::AnswerTruncated));
+    BOOST_TEST(memory.used() == 0U);
+}
