--- a/include/berylspur/gate/gate_task.h
+++ b/include/berylspur/gate/gate_task.h
@@ -4,6 +4,7 @@
 
 #include "berylspur/core/http_headers.h"
 #include "berylspur/core/ids.h"
+#include "berylspur/core/memory_budget.h"
 #include "berylspur/core/result.h"
 #include "berylspur/customers/customer_table.h"
 #include "berylspur/gate/stop_admission.h"
@@ -26,10 +27,11 @@
 class GateTask
 {
 public:
-    /// \a customers: those in force; they may change between requests.
+    /// \a customers: those in force; they may change between requests. \a memory counts what
+    /// callers make the gate hold; null: it is not counted.
     GateTask(event_base *base, const schema::NodeSettings &settings,
              const MembershipTask &membership, PeerPool &peers, const CustomerTable &customers,
-             const HeaderNames &names = {});
+             const HeaderNames &names = {}, MemoryBudget *memory = nullptr);
     ~GateTask();
     GateTask(const GateTask &) = delete;
     GateTask &operator=(const GateTask &) = delete;
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -203,7 +203,7 @@
     QuotaTask::Ticket m_quotaTicket; // while the request waits for a token of its customer
     std::string m_key; // key of the idempotency record; empty without Idempotency-Key
     HeaderList m_headers;
-    std::string m_body;
+    SharedBody m_body; // until the response starts, since a retry needs it
     bool m_idempotent = false;
     RequestClass m_requestClass = RequestClass::Short;
     std::uint64_t m_revision = 0;
--- a/src/gate/gate_request_dispatch.cpp
+++ b/src/gate/gate_request_dispatch.cpp
@@ -213,6 +213,7 @@
     auto headers = headersFrom(reply);
     headers.emplace_back(RequestIdHeader, m_id.toHex());
     m_streaming = true;
+    m_body = {};
     m_status = reply.status();
     m_serviceTime = Duration(reply.service_us());
     const auto length = reply.length_plus_one() == 0
