--- a/src/owner/owner_offers.cpp
+++ b/src/owner/owner_offers.cpp
@@ -47,7 +47,7 @@
     endpoint->offered.add(*id, now);
     schema::DispatchReply reply;
     reply.set_incarnation(m_incarnation);
-    fillLoad(*reply.mutable_load(), *endpoint);
+    fillLoad(*reply.mutable_load(), *endpoint, dispatch.route());
     peer->reply(reply.SerializeAsString());
     peer->finish();
 }
