Give the gate state test a customer table

Change: it passes an empty table. Its checks are as before. Ruled out: a default argument, with which a gate could be built that asks for no key. Figures: gate_state_test passes.

--- a/tests/gate_state_test.cpp
+++ b/tests/gate_state_test.cpp
@@ -64,7 +64,9 @@
     const Loop loop;
     MemberTable members(record("self", 1));
     PeerPool peers(loop.base, {"fleet", "self", 1});
-    GateContext context(loop.base, members, peers, "domain", PickMode::OwnerLoad, {}, "");
+    const CustomerTable customers;
+    GateContext context(loop.base, members, peers, customers, "domain", PickMode::OwnerLoad, {},
+                        "");
     auto now = Start;
     for (int i = 0; i < Churn; ++i) {
         now += std::chrono::seconds(1);
