--- a/include/berylspur/limits/quota_home.h
+++ b/include/berylspur/limits/quota_home.h
@@ -61,6 +61,8 @@
     /// Full buckets are deleted after this time without a request.
     static constexpr Duration BucketRetention = std::chrono::seconds(600);
 
+    static constexpr std::array<double, 8> ReferenceSizes {1, 1.5, 2, 3, 4, 6, 8, 16};
+
     using Entry = schema::CustomerQuotaRequest::Entry;
     using Granted = schema::CustomerQuotaReply::Entry;
 
@@ -84,10 +86,10 @@
         std::uint32_t votes = 0;
         double share = 0;
         double filled = 0; ///< integral of the share over time, in seconds
-        /// Level of a bucket that holds one second of its rate, in seconds. A bucket that is
-        /// created or deleted in between has at least this level, scaled to its size.
-        double reference = 0;
-        TimePoint at; ///< time up to which filled and reference are computed
+        /// Levels of buckets that hold ReferenceSizes seconds of their rate, in seconds. A
+        /// customer's bucket that is created later has at least the level of the next smaller one.
+        std::array<double, ReferenceSizes.size()> references {};
+        TimePoint at; ///< time up to which filled and references are computed
         std::unordered_map<std::string, Bucket> buckets;
     };
     struct Voter
@@ -109,6 +111,8 @@
     void applyVotes(Voter &voter, const schema::CustomerQuotaRequest &request, Duration age,
                     TimePoint now);
     double capacity(const RateLimit &limit, const Shard &shard) const;
+    /// Level of a bucket without requests since the first vote.
+    double unusedLevel(const RateLimit &limit, const Shard &shard) const;
     void refill(const Shard &shard, Bucket &bucket) const;
     Bucket &bucketOf(Shard &shard, const std::string &customer, const RateLimit &limit,
                      TimePoint now) const;
--- a/src/gate/quota_task.cpp
+++ b/src/gate/quota_task.cpp
@@ -14,6 +14,7 @@
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
 // Interval at which a gate without limited customers checks whether there are any.
 constexpr Duration InactiveInterval = std::chrono::seconds(1);
+constexpr Duration NodesInterval = std::chrono::seconds(1);
 constexpr std::size_t CustomersInMetrics = 10;
 
 /// Value of a Prometheus label.
@@ -61,16 +62,23 @@
 
 void QuotaTask::updateNodes()
 {
-    if (std::exchange(m_membersVersion, m_members.version()) == m_members.version())
+    const auto now = BootClock::now();
+    if (std::exchange(m_membersVersion, m_members.version()) == m_members.version()
+        && now < m_nextUpdate)
         return;
+    m_nextUpdate = now + NodesInterval;
     auto reachable = m_members.reachable();
-    const auto known = m_members.known().size();
+    const auto hasLeft = [this](const std::string &node) {
+        const auto *member = m_members.find(node);
+        return member && member->status() == schema::MEMBER_LEFT;
+    };
+    const auto known = m_fleetSize.update(m_members.known(), hasLeft, now);
     // The version also changes with each endpoint.
     if (reachable == m_reachable && known == m_knownNodes)
         return;
     m_reachable = std::move(reachable);
     m_knownNodes = known;
-    m_client.setNodes(m_reachable, static_cast<std::uint32_t>(known));
+    m_client.setNodes(m_reachable, known);
 }
 
 QuotaTask::Decision QuotaTask::request(const schema::Customer &customer, Ticket &ticket,
--- a/src/gate/quota_task.h
+++ b/src/gate/quota_task.h
@@ -4,6 +4,7 @@
 
 #include "berylspur/core/timer.h"
 #include "berylspur/customers/customer_table.h"
+#include "berylspur/limits/fleet_size.h"
 #include "berylspur/limits/quota_client.h"
 #include "berylspur/membership/member_table.h"
 #include "berylspur/transport/peer_pool.h"
@@ -82,8 +83,10 @@
     QuotaClient m_client;
     Timer m_timer;
     std::vector<std::string> m_reachable;
-    std::size_t m_knownNodes = 0;
+    FleetSize m_fleetSize;
+    std::uint32_t m_knownNodes = 0;
     std::uint64_t m_membersVersion = 0;
+    TimePoint m_nextUpdate; ///< of the nodes, if the member table does not change before
     /// Invariant: each ticket in it names this task; the oldest comes first.
     std::unordered_map<std::string, std::list<Ticket *>> m_waiting;
     std::map<std::string, Counts> m_counts; ///< by customer
--- a/src/limits/quota_home.cpp
+++ b/src/limits/quota_home.cpp
@@ -33,7 +33,8 @@
         return;
     const double gain = shard.share * seconds(now - shard.at);
     shard.filled += gain;
-    shard.reference = std::min(shard.reference + gain, shard.share);
+    for (std::size_t i = 0; i < ReferenceSizes.size(); ++i)
+        shard.references[i] = std::min(shard.references[i] + gain, ReferenceSizes[i] * shard.share);
     shard.at = now;
 }
 
@@ -43,6 +44,19 @@
     return (burst + m_extraBurst) * shard.share;
 }
 
+double QuotaHome::unusedLevel(const RateLimit &limit, const Shard &shard) const
+{
+    if (shard.share <= 0)
+        return 0;
+    // A reference bucket that is not larger than the customer's never holds more seconds of the
+    // rate. For a customer smaller than all of them, this holds for the smallest, scaled down.
+    const double size = capacity(limit, shard) / shard.share / limit.rate;
+    const auto next = std::upper_bound(ReferenceSizes.begin(), ReferenceSizes.end(), size);
+    const auto index = std::max<std::ptrdiff_t>(next - ReferenceSizes.begin() - 1, 0);
+    const double scale = std::min(size / ReferenceSizes.front(), 1.0);
+    return limit.rate * shard.references[static_cast<std::size_t>(index)] * scale;
+}
+
 void QuotaHome::refill(const Shard &shard, Bucket &bucket) const
 {
     const double level = bucket.level + bucket.limit.rate * (shard.filled - bucket.filledAt);
@@ -61,7 +75,8 @@
     for (auto &[name, bucket] : shard.buckets)
         refill(shard, bucket);
     shard.share = share;
-    shard.reference = std::min(shard.reference, share);
+    for (std::size_t i = 0; i < ReferenceSizes.size(); ++i)
+        shard.references[i] = std::min(shard.references[i], ReferenceSizes[i] * share);
     for (auto &[name, bucket] : shard.buckets)
         refill(shard, bucket);
 }
@@ -150,9 +165,7 @@
     const auto [entry, isNew] = shard.buckets.try_emplace(customer);
     Bucket &bucket = entry->second;
     if (isNew) {
-        const double rate = limit.rate * shard.share;
-        const double scale = rate > 0 ? std::min(capacity(limit, shard) / rate, 1.0) : 0;
-        bucket.level = limit.rate * shard.reference * scale;
+        bucket.level = unusedLevel(limit, shard);
         bucket.filledAt = shard.filled;
     } else {
         refill(shard, bucket);
--- a/tests/quota_test.cpp
+++ b/tests/quota_test.cpp
@@ -1,6 +1,7 @@
 // Customer quotas: the limit holds over the whole fleet under any faults, and requests within it
 // are served.
 #define BOOST_TEST_MODULE quota
+#include "berylspur/limits/fleet_size.h"
 #include "property_check.h"
 #include "quota_fleet.h"
 
@@ -338,6 +339,18 @@
     BOOST_TEST(fixture.granted("b", 3, 1100ms) == 0U);
 }
 
+// Guards against sides of a partition that forget each other and take the whole limit, and against
+// nodes that left and keep their share.
+BOOST_AUTO_TEST_CASE(forgotten_nodes_are_counted)
+{
+    FleetSize size;
+    const auto left = [](const std::string &node) { return node == "left"; };
+    BOOST_TEST(size.update({"a", "b", "left"}, left, Start) == 3U);
+    BOOST_TEST(size.update({"a"}, left, Start + 1s) == 2U);
+    BOOST_TEST(size.update({"a"}, left, Start + 3599s) == 2U);
+    BOOST_TEST(size.update({"a"}, left, Start + 3600s) == 1U);
+}
+
 // Guards against tokens that are spent after their lease, counted from the composition of the
 // request, and against a second vote while the first may still count.
 BOOST_AUTO_TEST_CASE(gate_counts_terms_from_its_request)
