--- a/src/gate/quota_task.cpp
+++ b/src/gate/quota_task.cpp
@@ -15,6 +15,7 @@
 // Interval at which a gate without limited customers checks whether there are any.
 constexpr Duration InactiveInterval = std::chrono::seconds(1);
 constexpr Duration NodesInterval = std::chrono::seconds(1);
+constexpr Duration ForgetInterval = std::chrono::seconds(60);
 constexpr std::size_t CustomersInMetrics = 10;
 
 /// Value of a Prometheus label.
@@ -56,10 +57,25 @@
     const bool isActive = m_customers.hasLimits();
     m_timer.start(isActive ? TickInterval : InactiveInterval);
     m_client.expire(BootClock::now());
+    forgetDeleted(BootClock::now());
     if (isActive)
         poll();
 }
 
+void QuotaTask::forgetDeleted(TimePoint now)
+{
+    if (now < m_nextForget)
+        return;
+    m_nextForget = now + ForgetInterval;
+    std::erase_if(m_counts, [this](const auto &entry) {
+        if (m_customers.byName(entry.first))
+            return false;
+        m_formerCounts.admitted += entry.second.admitted;
+        m_formerCounts.refused += entry.second.refused;
+        return true;
+    });
+}
+
 void QuotaTask::updateNodes()
 {
     const auto now = BootClock::now();
@@ -228,7 +244,7 @@
         text += prometheusSample("berylspur_gate_quota_refused_total", labels,
                                  static_cast<double>(counts.refused));
     };
-    Counts rest;
+    Counts rest = m_formerCounts;
     for (std::size_t i = 0; i < customers.size(); ++i) {
         const auto &[name, counts] = customers[i];
         if (i < largest) {
--- a/src/gate/quota_task.h
+++ b/src/gate/quota_task.h
@@ -75,6 +75,7 @@
     void send(const QuotaClient::Outgoing &outgoing);
     void wake();
     void recheck(const std::string &customer);
+    void forgetDeleted(TimePoint now);
     void count(const std::string &customer, Verdict verdict);
 
     const MemberTable &m_members;
@@ -90,6 +91,8 @@
     /// Invariant: each ticket in it names this task; the oldest comes first.
     std::unordered_map<std::string, std::list<Ticket *>> m_waiting;
     std::map<std::string, Counts> m_counts; ///< by customer
+    Counts m_formerCounts; ///< of customers that were deleted
+    TimePoint m_nextForget;
     std::uint64_t m_sent = 0;
     std::uint64_t m_failed = 0;
 };
