--- a/src/gate/quota_task.cpp
+++ b/src/gate/quota_task.cpp
@@ -14,6 +14,8 @@
 constexpr Duration TickInterval = std::chrono::milliseconds(100);
 // Interval at which a gate without limited customers checks whether there are any.
 constexpr Duration InactiveInterval = std::chrono::seconds(1);
+constexpr Duration NodesInterval = std::chrono::seconds(1);
+constexpr Duration ForgetInterval = std::chrono::seconds(60);
 constexpr std::size_t CustomersInMetrics = 10;
 
 /// Value of a Prometheus label.
@@ -55,22 +57,44 @@
     const bool isActive = m_customers.hasLimits();
     m_timer.start(isActive ? TickInterval : InactiveInterval);
     m_client.expire(BootClock::now());
+    forgetDeleted(BootClock::now());
     if (isActive)
         poll();
 }
 
+void QuotaTask::forgetDeleted(TimePoint now)
+{
+    if (now < m_nextForget)
+        return;
+    m_nextForget = now + ForgetInterval;
+    std::erase_if(m_counts, [this](const auto &entry) {
+        if (m_customers.byName(entry.first))
+            return false;
+        m_formerCounts.admitted += entry.second.admitted;
+        m_formerCounts.refused += entry.second.refused;
+        return true;
+    });
+}
+
 void QuotaTask::updateNodes()
 {
-    if (std::exchange(m_membersVersion, m_members.version()) == m_members.version())
+    const auto now = BootClock::now();
+    if (std::exchange(m_membersVersion, m_members.version()) == m_members.version()
+        && now < m_nextUpdate)
         return;
+    m_nextUpdate = now + NodesInterval;
     auto reachable = m_members.reachable();
-    const auto known = m_members.known().size();
+    const auto hasLeft = [this](const std::string &node) {
+        const auto *member = m_members.find(node);
+        return member && member->status() == schema::MEMBER_LEFT;
+    };
+    const auto known = m_fleetSize.update(m_members.known(), hasLeft, now);
     // The version also changes with each endpoint.
     if (reachable == m_reachable && known == m_knownNodes)
         return;
     m_reachable = std::move(reachable);
     m_knownNodes = known;
-    m_client.setNodes(m_reachable, static_cast<std::uint32_t>(known));
+    m_client.setNodes(m_reachable, known);
 }
 
 QuotaTask::Decision QuotaTask::request(const schema::Customer &customer, Ticket &ticket,
@@ -220,7 +244,7 @@
         text += prometheusSample("berylspur_gate_quota_refused_total", labels,
                                  static_cast<double>(counts.refused));
     };
-    Counts rest;
+    Counts rest = m_formerCounts;
     for (std::size_t i = 0; i < customers.size(); ++i) {
         const auto &[name, counts] = customers[i];
         if (i < largest) {
