Count a rank as behind by its lost requests, not by those that wait

Cause: RankShares compared starts with arrivals. A less urgent request in a burst counted as not started while it waited, so that it went before urgent ones after two starts.

Change: requests that were refused, displaced or dropped count against a rank, waiting ones do not, and a rank is behind below 0.55 times the share of all (0.6 before). admission_rank_test checks that a less urgent request among urgent ones is the eighth to start. admission_replay_test also compares the requests served within their target latency.

--- a/include/berylspur/admission/rank_shares.h
+++ b/include/berylspur/admission/rank_shares.h
@@ -19,7 +19,8 @@
     return rank < RankGroups - 1 ? rank : RankGroups - 1;
 }
 
-/// Requests that arrived and requests that were started, by group of ranks, weighted by age.
+/// Requests that were started and requests that were lost, by group of ranks, weighted by age.
+/// Those that wait are not counted: until its turn, a rank that waits is not behind.
 class RankShares
 {
 public:
@@ -27,13 +28,14 @@
     /// requests a second, short enough to follow a load peak.
     static constexpr Duration Window = std::chrono::seconds(5);
 
-    void onArrival(std::uint32_t rank, TimePoint now);
     void onStart(std::uint32_t rank, TimePoint now);
+    /// A request was refused, displaced, or dropped at its deadline.
+    void onLost(std::uint32_t rank, TimePoint now);
 
-    /// Share of the requests of \a rank that were started; 1 if none arrived.
+    /// Share of the requests of \a rank that were started; 1 if there were none.
     double startedShare(std::uint32_t rank) const;
     /// True if the requests of \a rank were started hardly half as often as all requests.
-    /// False until enough requests have arrived.
+    /// False until enough requests were counted.
     bool isBehind(std::uint32_t rank) const;
     /// Starts a second of requests that are more urgent than \a rank.
     double startRateBefore(std::uint32_t rank) const;
@@ -41,8 +43,8 @@
 private:
     struct Group
     {
-        double arrivals = 0;
         double starts = 0;
+        double lost = 0;
     };
 
     void decay(TimePoint now);
--- a/include/berylspur/admission/slot_scheduler.h
+++ b/include/berylspur/admission/slot_scheduler.h
@@ -177,7 +177,7 @@
                                       const Arrival &arrival, TimePoint now) const;
     /// True if \a queue has no room and no request that \a arrival may displace.
     bool isFullFor(const RankedQueue &queue, const Arrival &arrival) const;
-    void displaceNewest(RankedQueue &queue, const Arrival &arrival);
+    void displaceNewest(RankedQueue &queue, const Arrival &arrival, TimePoint now);
     bool canStart(RequestClass requestClass, TimePoint now) const;
     /// True if the next free slot is for a long request, provided that one is queued.
     bool isLongDue(TimePoint now) const;
--- a/src/admission/parent_admission.cpp
+++ b/src/admission/parent_admission.cpp
@@ -38,8 +38,8 @@
 constexpr double LeastUrgentWaitFactor = 1.5;
 
 /// Admitted share that is always left: the calls of these parents show whether the service has
-/// recovered, and no rank may be served less than a quarter as often as all. A throttle without such
-/// a bound cost more requests than it saved (docs/measurements.md).
+/// recovered, and no rank may be served less than a quarter as often as all. A throttle without
+/// such a bound cost more requests than it saved (docs/measurements.md).
 constexpr double MinAdmittedShare = 1.0 / 4;
 
 /// Admitted share that is left if calls wait but are served.
--- a/src/admission/rank_shares.cpp
+++ b/src/admission/rank_shares.cpp
@@ -1,49 +1,49 @@
 // Counts with exponential decay.
 #include "berylspur/admission/rank_shares.h"
 
-#include <algorithm>
 #include <cmath>
 
 namespace berylspur {
 
 namespace {
 
-/// Arrivals below which shares say little.
-constexpr double MinArrivals = 8;
+/// Requests below which shares say little.
+constexpr double MinRequests = 8;
 
 /// The least urgent rank must be served half as often as all requests together. The margin covers
 /// the delay until a rank that falls behind is noticed.
-constexpr double MinRelativeShare = 0.6;
+constexpr double MinRelativeShare = 0.55;
 
 } // namespace
 
-void RankShares::onArrival(std::uint32_t rank, TimePoint now)
+void RankShares::onStart(std::uint32_t rank, TimePoint now)
 {
     decay(now);
-    m_groups[rankGroup(rank)].arrivals += 1;
+    m_groups[rankGroup(rank)].starts += 1;
 }
 
-void RankShares::onStart(std::uint32_t rank, TimePoint now)
+void RankShares::onLost(std::uint32_t rank, TimePoint now)
 {
     decay(now);
-    m_groups[rankGroup(rank)].starts += 1;
+    m_groups[rankGroup(rank)].lost += 1;
 }
 
 double RankShares::startedShare(std::uint32_t rank) const
 {
     const Group &group = m_groups[rankGroup(rank)];
-    return group.arrivals == 0 ? 1 : std::min(1.0, group.starts / group.arrivals);
+    const double requests = group.starts + group.lost;
+    return requests == 0 ? 1 : group.starts / requests;
 }
 
 bool RankShares::isBehind(std::uint32_t rank) const
 {
     Group sum;
     for (const Group &group : m_groups) {
-        sum.arrivals += group.arrivals;
         sum.starts += group.starts;
+        sum.lost += group.lost;
     }
-    return sum.arrivals >= MinArrivals
-           && startedShare(rank) < MinRelativeShare * sum.starts / sum.arrivals;
+    const double requests = sum.starts + sum.lost;
+    return requests >= MinRequests && startedShare(rank) < MinRelativeShare * sum.starts / requests;
 }
 
 double RankShares::startRateBefore(std::uint32_t rank) const
@@ -61,8 +61,8 @@
     const double factor = std::exp(-std::chrono::duration<double>(now - m_decayedAt)
                                    / std::chrono::duration<double>(Window));
     for (Group &group : m_groups) {
-        group.arrivals *= factor;
         group.starts *= factor;
+        group.lost *= factor;
     }
     m_decayedAt = now;
 }
--- a/src/admission/slot_scheduler.cpp
+++ b/src/admission/slot_scheduler.cpp
@@ -86,12 +86,13 @@
     RankedQueue &queue = waitingWith(arrival);
     if (request.deadline <= now)
         return Refusal {ErrorCode::NotRunDeadline, MinRetryAfter};
-    m_shares.onArrival(arrival.rank, now);
     if (!m_policy.unlimitedQueue) {
-        if (const auto refusal = checkQueue(request, queue, arrival, now))
+        if (const auto refusal = checkQueue(request, queue, arrival, now)) {
+            m_shares.onLost(arrival.rank, now);
             return refusal;
+        }
         if (queue.size() >= queueBound(arrival.requestClass, arrival.isNestedCall))
-            displaceNewest(queue, arrival);
+            displaceNewest(queue, arrival, now);
     }
 
     const Index index = allocate();
@@ -140,12 +141,13 @@
     return lessUrgent <= bound / FirstRankStarts;
 }
 
-void SlotScheduler::displaceNewest(RankedQueue &queue, const Arrival &arrival)
+void SlotScheduler::displaceNewest(RankedQueue &queue, const Arrival &arrival, TimePoint now)
 {
     const auto last = queue.lastRank();
     if (!last || *last <= arrival.rank)
         return;
     const Index index = queue.popNewest(*last);
+    m_shares.onLost(*last, now);
     const Duration wait = expectedWait({arrival.requestClass, arrival.isNestedCall, *last});
     m_displaced.push_back({m_nodes[index].request.id, retryAfter(arrival.requestClass, wait)});
     release(index);
@@ -536,6 +538,7 @@
         removeIf(*queue, [&](const QueuedRequest &request) {
             if (request.deadline <= now) {
                 m_expired.push_back(request.id);
+                m_shares.onLost(rankOf(request), now);
                 return true;
             }
             m_earliestDeadline = std::min(m_earliestDeadline, request.deadline);
--- a/tests/admission_rank_test.cpp
+++ b/tests/admission_rank_test.cpp
@@ -122,6 +122,18 @@
     BOOST_TEST(fixture.runAll() == "eadbc");
 }
 
+// Guards against a less urgent request that waits for as long as urgent ones come, and against one
+// that goes before them more often than it must.
+BOOST_AUTO_TEST_CASE(one_start_of_eight_goes_to_another_rank)
+{
+    Fixture fixture(10); // room for 20
+    fixture.enqueue('z', 5);
+    fixture.enqueue('y', 5);
+    for (char name = 'a'; name < 'r'; ++name)
+        BOOST_REQUIRE(!fixture.enqueue(name, 0, std::string(1, name)));
+    BOOST_TEST(fixture.runAll() == "abcdefgzhijklmnyopq");
+}
+
 // Guards against urgent requests that are refused because less urgent ones fill the queue, and
 // against the loss of a displaced request.
 BOOST_AUTO_TEST_CASE(an_urgent_request_displaces_the_newest_of_the_last_rank)
--- a/tests/admission_replay.h
+++ b/tests/admission_replay.h
@@ -62,11 +62,14 @@
 {
     std::uint64_t offered = 0;
     std::uint64_t served = 0; ///< within the deadline, with their call
+    std::uint64_t onTime = 0; ///< served within the latency target
     std::uint64_t refusedAtGate = 0; ///< by ParentAdmission
     std::uint64_t wasted = 0; ///< ran without effect: their call failed, or they were late
-    double share() const
+    double share() const { return of(served); }
+    double onTimeShare() const { return of(onTime); }
+    double of(std::uint64_t count) const
     {
-        return offered == 0 ? 1 : static_cast<double>(served) / static_cast<double>(offered);
+        return offered == 0 ? 1 : static_cast<double>(count) / static_cast<double>(offered);
     }
 };
 
@@ -350,6 +353,8 @@
         }
         if (Count *count = countOf(*request)) {
             count->served += isServed ? 1 : 0;
+            const Duration target = m_load.kinds[request->kind].latencyTarget;
+            count->onTime += isServed && m_now - request->arrived <= target ? 1 : 0;
             count->wasted += hasRun && !isServed ? 1 : 0;
         }
     }
--- a/tests/admission_replay_test.cpp
+++ b/tests/admission_replay_test.cpp
@@ -22,8 +22,8 @@
 {
     std::ostringstream text;
     for (const Count &count : counts) {
-        text << " " << count.served << "/" << count.offered << " wasted " << count.wasted
-             << " at gate " << count.refusedAtGate << ";";
+        text << " " << count.served << "/" << count.offered << " on time " << count.onTime
+             << " wasted " << count.wasted << " at gate " << count.refusedAtGate << ";";
     }
     return text.str();
 }
@@ -54,8 +54,10 @@
 /// Checks the order of the kinds, which are sorted by rank, and the share of the last one.
 void checkOrder(const std::vector<Count> &counts)
 {
-    for (std::size_t i = 1; i < counts.size(); ++i)
+    for (std::size_t i = 1; i < counts.size(); ++i) {
         BOOST_TEST(counts[i - 1].share() >= counts[i].share() - 0.05);
+        BOOST_TEST(counts[i - 1].onTimeShare() >= counts[i].onTimeShare() - 0.15);
+    }
     BOOST_TEST(counts.back().share() >= 0.5 * shareOfAll(counts));
 }
 
