Add berylspurctl check, which lists the findings in a manifest

Cause: validate stops at the first error and accepts entries without effect and limits that contradict each other.

Ruled out: a finding for a method that a longer prefix refuses (GET /bookings in examples/midlands.yaml); the example is meant so.

--- a/include/berylspur/ctl/report.h
+++ b/include/berylspur/ctl/report.h
@@ -4,11 +4,13 @@
 #include "berylspur/core/error_code.h"
 #include "berylspur/core/result.h"
 #include "berylspur/ctl/explain.h"
+#include "berylspur/ctl/manifest_lint.h"
 #include "berylspur/ctl/manifest_writer.h"
 #include "berylspur/ctl/node_state.h"
 #include "berylspur/ctl/request_trace.h"
 
 #include <array>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -55,10 +57,14 @@
     ErrorCode code = ErrorCode::Ok;
     std::string text;
     std::string json;
+    /// Replaces the exit status of the code. The text then goes to standard output.
+    std::optional<ExitStatus> exitStatus {};
 };
 
 Report reportError(const Error &error);
 Report reportValid(const schema::Manifest &manifest);
+/// Findings in the manifest \a file, one a line; exit status 0 without findings, otherwise 1.
+Report reportFindings(const std::vector<ManifestFinding> &findings, const std::string &file);
 /// Outcome of apply or drain. \a unreachable lists the admin addresses that did not respond.
 Report reportWrite(const WriteOutcome &outcome, const std::string &applyId,
                    const std::vector<std::string> &unreachable);
--- a/src/ctl/report.cpp
+++ b/src/ctl/report.cpp
@@ -116,6 +116,23 @@
     return {error.code, describe(error) + "\n", errorJson(error).dump(2) + "\n"};
 }
 
+Report reportFindings(const std::vector<ManifestFinding> &findings, const std::string &file)
+{
+    Report report {findings.empty() ? ErrorCode::Ok : ErrorCode::ManifestInvalid, {}, {}};
+    Json list = Json::array();
+    for (const auto &finding : findings) {
+        report.text += describe(finding, file) + "\n";
+        list.push_back({{"file", file},
+                        {"line", finding.line},
+                        {"field", finding.field},
+                        {"what", finding.what},
+                        {"why", finding.why}});
+    }
+    report.json = Json {{"ok", findings.empty()}, {"findings", list}}.dump(2) + "\n";
+    report.exitStatus = findings.empty() ? ExitStatus::Ok : ExitStatus::OtherError;
+    return report;
+}
+
 Report reportValid(const schema::Manifest &manifest)
 {
     std::size_t routes = 0;
--- a/tools/berylspurctl.cpp
+++ b/tools/berylspurctl.cpp
@@ -15,6 +15,7 @@
 #include <fstream>
 #include <iostream>
 #include <memory>
+#include <sstream>
 
 using namespace berylspur;
 
@@ -71,11 +72,25 @@
         return manifest ? reportValid(manifest.value()) : reportError(manifest.error());
     }
 
+    /// Exit status 2 if the file cannot be read.
+    Report check()
+    {
+        std::ifstream stream(m_options.file, std::ios::binary);
+        std::ostringstream text;
+        if (!stream.is_open() || !(text << stream.rdbuf()))
+            return reportError({ErrorCode::CommandUsage, "cannot read " + m_options.file});
+        return reportFindings(lintManifest(text.str()), m_options.file);
+    }
+
     Report apply()
     {
         const auto manifest = loadManifest(m_options.file);
         if (!manifest)
             return reportError(manifest.error());
+        if (auto checked = check(); checked.code != ErrorCode::Ok) {
+            checked.exitStatus.reset(); // that of an invalid manifest, as for other errors
+            return checked;
+        }
         if (auto opened = openSession(); !opened)
             return reportError(opened.error());
         const auto activeRevisions = queryActiveRevisions(&manifest.value());
@@ -306,6 +321,13 @@
     validate->add_option("file", options.file, "manifest")->required();
     addOutputOption(validate, options);
 
+    auto *check = addCommand(app, "check",
+                             "List errors, entries without effect and contradicting limits of a "
+                             "manifest file, one a line (exit status 1 if there are any)",
+                             run, &Command::check);
+    check->add_option("file", options.file, "manifest")->required();
+    addOutputOption(check, options);
+
     auto *apply = addCommand(app, "apply", "Apply a manifest", run, &Command::apply);
     apply->add_option("file", options.file, "manifest")->required();
 
@@ -401,7 +423,7 @@
     const bool json = options.output == "json";
     Command command(std::move(options));
     const auto report = (command.*run)();
-    auto *stream = report.code == ErrorCode::Ok || json ? stdout : stderr;
+    auto *stream = report.code == ErrorCode::Ok || report.exitStatus || json ? stdout : stderr;
     std::fputs((json ? report.json : report.text).c_str(), stream);
-    return static_cast<int>(exitStatusOf(report.code));
+    return static_cast<int>(report.exitStatus.value_or(exitStatusOf(report.code)));
 }
