Compare a manifest with the version in force in berylspurctl check

Lists are compared by the identity of their entries (methods, host and prefix of a route; name of a customer), so that their order is no difference. Only the removal of a service cuts off work: requests at endpoints keep their route and deadline, and those to be placed again find no service. Customers and keys are not compared.

--- a/include/berylspur/ctl/manifest_writer.h
+++ b/include/berylspur/ctl/manifest_writer.h
@@ -83,6 +83,8 @@
         schema::ManifestHead content;
     };
     Result<Head> readHead();
+    /// The services that \a head names.
+    Result<std::vector<schema::Service>> readServices(const schema::ManifestHead &head);
 
     /// Object name "manifest/services/<service>/<hash>".
     static std::string contentName(const std::string &service, const std::string &hash);
--- a/include/berylspur/ctl/report.h
+++ b/include/berylspur/ctl/report.h
@@ -4,6 +4,7 @@
 #include "berylspur/core/error_code.h"
 #include "berylspur/core/result.h"
 #include "berylspur/ctl/explain.h"
+#include "berylspur/ctl/manifest_diff.h"
 #include "berylspur/ctl/manifest_lint.h"
 #include "berylspur/ctl/manifest_writer.h"
 #include "berylspur/ctl/node_state.h"
@@ -64,7 +65,9 @@
 Report reportError(const Error &error);
 Report reportValid(const schema::Manifest &manifest);
 /// Findings in the manifest \a file, one a line; exit status 0 without findings, otherwise 1.
-Report reportFindings(const std::vector<ManifestFinding> &findings, const std::string &file);
+/// \a differences from the version in force follow; they do not change the exit status.
+Report reportFindings(const std::vector<ManifestFinding> &findings, const std::string &file,
+                      const std::vector<ManifestDifference> &differences = {});
 /// Outcome of apply or drain. \a unreachable lists the admin addresses that did not respond.
 Report reportWrite(const WriteOutcome &outcome, const std::string &applyId,
                    const std::vector<std::string> &unreachable);
--- a/src/ctl/manifest_writer.cpp
+++ b/src/ctl/manifest_writer.cpp
@@ -127,6 +127,23 @@
     return head;
 }
 
+Result<std::vector<schema::Service>> ManifestWriter::readServices(const schema::ManifestHead &head)
+{
+    std::vector<std::string> names;
+    for (const auto &entry : head.entries()) {
+        if (!entry.hash().empty())
+            names.push_back(contentName(entry.service(), entry.hash()));
+    }
+    std::vector<schema::Service> services;
+    for (const auto &object : m_session.readAll(names)) {
+        if (!object)
+            return object.as_failure();
+        if (!services.emplace_back().ParseFromString(object.value().value))
+            return failure(ErrorCode::PlatformBadAnswer, "a service is malformed");
+    }
+    return services;
+}
+
 void ManifestWriter::addService(Plan &plan, const schema::Service &service,
                                 const std::string &customerHeader)
 {
--- a/src/ctl/report.cpp
+++ b/src/ctl/report.cpp
@@ -116,7 +116,8 @@
     return {error.code, describe(error) + "\n", errorJson(error).dump(2) + "\n"};
 }
 
-Report reportFindings(const std::vector<ManifestFinding> &findings, const std::string &file)
+Report reportFindings(const std::vector<ManifestFinding> &findings, const std::string &file,
+                      const std::vector<ManifestDifference> &differences)
 {
     Report report {findings.empty() ? ErrorCode::Ok : ErrorCode::ManifestInvalid, {}, {}};
     Json list = Json::array();
@@ -128,7 +129,18 @@
                         {"what", finding.what},
                         {"why", finding.why}});
     }
-    report.json = Json {{"ok", findings.empty()}, {"findings", list}}.dump(2) + "\n";
+    Json changes = Json::array();
+    for (const auto &difference : differences) {
+        report.text += describe(difference) + "\n";
+        changes.push_back({{"service", difference.service},
+                           {"field", difference.field},
+                           {"in-force", difference.inForce},
+                           {"next", difference.next},
+                           {"cuts-off", difference.cutsOff}});
+    }
+    report.json =
+            Json {{"ok", findings.empty()}, {"findings", list}, {"differences", changes}}.dump(2)
+            + "\n";
     report.exitStatus = findings.empty() ? ExitStatus::Ok : ExitStatus::OtherError;
     return report;
 }
--- a/tests/manifest_lint_test.cpp
+++ b/tests/manifest_lint_test.cpp
@@ -1,6 +1,8 @@
 // Findings in manifests: a table of faults with their line, field and text.
 #define BOOST_TEST_MODULE manifest_lint
+#include "berylspur/ctl/manifest_diff.h"
 #include "berylspur/ctl/manifest_lint.h"
+#include "berylspur/settings/yaml_loader.h"
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -145,3 +147,54 @@
     for (const auto &finding : lintManifest(text.str()))
         BOOST_ERROR(describe(finding, name));
 }
+
+namespace {
+
+std::vector<schema::Service> servicesOf(const std::string &text)
+{
+    schema::Manifest manifest;
+    BOOST_REQUIRE(parseYaml(text, "m", manifest).has_value());
+    return {manifest.services().begin(), manifest.services().end()};
+}
+
+const std::string Other = "- {name: c, endpoints: 1, slots: 1, routes: [{path-prefix: /c, "
+                          "idempotent: true}]}\n";
+
+const std::vector<Row> Changes {
+        {"none", Base + Route, {}},
+        {"order of lists", replaced(Base + Route, "[GET]", "[GET, GET]"), {}},
+        {"scalar",
+         replaced(Base + Route, "endpoints: 4", "endpoints: 6"),
+         {"a: endpoints: 4 -> 6"}},
+        {"limit",
+         replaced(Base + Route, "concurrency: 8, ", ""),
+         {"a: limits.concurrency: 8 -> 0"}},
+        {"field of a route",
+         replaced(Base + Route, "[GET]}", "[GET], deadline-ms: 100}"),
+         {"a: routes[GET /].deadline-ms: 5000 -> 100"}},
+        {"another route",
+         Base + Route + "  - {path-prefix: /d, idempotent: true}\n",
+         {"b: routes[any /d]: absent -> present"}},
+        {"another service", Base + Route + Other, {"c: absent -> present"}},
+};
+
+} // namespace
+
+// Guards against a difference that is not shown, and against one that is only of order.
+BOOST_DATA_TEST_CASE(differences_name_service_and_field, data::make(Changes), row)
+{
+    std::vector<std::string> texts;
+    for (const auto &difference : compareServices(servicesOf(Base + Route), servicesOf(row.text)))
+        texts.push_back(describe(difference));
+    BOOST_TEST(texts == row.findings, boost::test_tools::per_element());
+}
+
+// Guards against a service whose removal looks harmless.
+BOOST_AUTO_TEST_CASE(removed_service_cuts_off_work)
+{
+    const auto differences =
+            compareServices(servicesOf(Base + Route + Other), servicesOf(Base + Route));
+    BOOST_REQUIRE(differences.size() == 1U);
+    BOOST_TEST(differences.front().service == "c");
+    BOOST_TEST(!differences.front().cutsOff.empty());
+}
--- a/tests/process_ctl_test.cpp
+++ b/tests/process_ctl_test.cpp
@@ -189,3 +189,22 @@
     BOOST_TEST(run({"apply", manifest("last.yaml", 99), "--platform", platform()}, &output) == 0);
     BOOST_TEST(output["revision"] == accepted.size() + 1);
 }
+
+// Guards against a check whose exit status hides findings, or that fails because of differences
+// from the version in force.
+BOOST_FIXTURE_TEST_CASE(check_lists_findings_and_differences, CtlFixture)
+{
+    BOOST_TEST(run({"check", file("bad.yaml", "fleet: f\nservces: []\n")}) == 1);
+    BOOST_TEST(run({"check", "/nowhere/manifest.yaml"}) == 2);
+    BOOST_TEST(run({"check"}) == 2);
+    BOOST_REQUIRE(run({"apply", manifest("one.yaml", 2), "--platform", platform()}) == 0);
+    Json output;
+    BOOST_TEST(run({"check", manifest("two.yaml", 3), "--platform", platform()}, &output) == 0);
+    const Json expected {{{"service", "a"},
+                          {"field", "slots"},
+                          {"in-force", "2"},
+                          {"next", "3"},
+                          {"cuts-off", ""}}};
+    BOOST_TEST(output["differences"] == expected);
+    BOOST_TEST(output["findings"].empty());
+}
--- a/tools/berylspurctl.cpp
+++ b/tools/berylspurctl.cpp
@@ -46,6 +46,7 @@
     std::int64_t maxWriteDelayS = 120;
     std::int64_t waitMs = 0;
     bool undo = false;
+    bool isCompared = false; ///< check: with the version in force
 };
 
 /// Report of a failed read. A read has no side effect, so its timeout is reported as
@@ -79,7 +80,16 @@
         std::ostringstream text;
         if (!stream.is_open() || !(text << stream.rdbuf()))
             return reportError({ErrorCode::CommandUsage, "cannot read " + m_options.file});
-        return reportFindings(lintManifest(text.str()), m_options.file);
+        const auto findings = lintManifest(text.str());
+        const auto manifest = loadManifest(m_options.file);
+        if (!m_options.isCompared || !manifest)
+            return reportFindings(findings, m_options.file);
+        const auto inForce = servicesInForce();
+        if (!inForce)
+            return reportReadError(inForce.error());
+        const auto &services = manifest.value().services();
+        return reportFindings(findings, m_options.file,
+                              compareServices(inForce.value(), {services.begin(), services.end()}));
     }
 
     Report apply()
@@ -165,6 +175,17 @@
     }
 
 private:
+    Result<std::vector<schema::Service>> servicesInForce()
+    {
+        if (auto opened = openSession(); !opened)
+            return std::move(opened).as_failure();
+        ManifestWriter writer(*m_session);
+        const auto head = writer.readHead();
+        if (!head)
+            return head.as_failure();
+        return writer.readServices(head.value().content);
+    }
+
     Report explainFromLogs() const
     {
         RequestTrace trace(m_options.logRequestId);
@@ -327,6 +348,9 @@
                              run, &Command::check);
     check->add_option("file", options.file, "manifest")->required();
     addOutputOption(check, options);
+    addPlatformOption(check, options)->required(false)->each([&options](const std::string &) {
+        options.isCompared = true;
+    });
 
     auto *apply = addCommand(app, "apply", "Apply a manifest", run, &Command::apply);
     apply->add_option("file", options.file, "manifest")->required();
