--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -106,7 +106,7 @@
 // Guards against a route to the wrong service, and against retries of a non-idempotent route.
 BOOST_AUTO_TEST_CASE(configuration_is_decoded)
 {
-    const auto decoded = platform::decodeConfiguration(configuration().dump(), {20, 40});
+    const auto decoded = platform::decodeConfiguration(configuration().dump(), {20, 40, 3});
     BOOST_REQUIRE(decoded.has_value());
     const auto &delta = decoded.value();
     BOOST_TEST(delta.revision() == 0x1cU);
@@ -117,6 +117,7 @@
     BOOST_TEST(one->content().health_path() == "/healthz");
     BOOST_TEST(one->content().retry_percent() == 20U);
     BOOST_TEST(one->content().floor_percent() == 40U);
+    BOOST_TEST(one->content().hedge_percent() == 3U);
     BOOST_TEST(one->content().endpoints() == 0U);
     BOOST_TEST(one->caller_bounds().idle_timeout_ms() == 15000U);
     BOOST_REQUIRE(one->content().routes_size() == 1);
