--- a/src/ctl/report.cpp
+++ b/src/ctl/report.cpp
@@ -126,6 +126,35 @@
     return {error.code, describe(error) + "\n", errorJson(error).dump(2) + "\n"};
 }
 
+Report reportFindings(const std::vector<ManifestFinding> &findings, const std::string &file,
+                      const std::vector<ManifestDifference> &differences)
+{
+    Report report {findings.empty() ? ErrorCode::Ok : ErrorCode::ManifestInvalid, {}, {}};
+    Json list = Json::array();
+    for (const auto &finding : findings) {
+        report.text += describe(finding, file) + "\n";
+        list.push_back({{"file", file},
+                        {"line", finding.line},
+                        {"field", finding.field},
+                        {"what", finding.what},
+                        {"why", finding.why}});
+    }
+    Json changes = Json::array();
+    for (const auto &difference : differences) {
+        report.text += describe(difference) + "\n";
+        changes.push_back({{"service", difference.service},
+                           {"field", difference.field},
+                           {"in-force", difference.inForce},
+                           {"next", difference.next},
+                           {"cuts-off", difference.cutsOff}});
+    }
+    report.json =
+            Json {{"ok", findings.empty()}, {"findings", list}, {"differences", changes}}.dump(2)
+            + "\n";
+    report.exitStatus = findings.empty() ? ExitStatus::Ok : ExitStatus::OtherError;
+    return report;
+}
+
 Report reportValid(const schema::Manifest &manifest)
 {
     std::size_t routes = 0;
