--- a/tests/schema_generator.h
+++ b/tests/schema_generator.h
@@ -51,11 +51,11 @@
         return randomText(lower + ".*-", 0, 253);
     if (pattern == "/[^ ?#]*")
         return "/" + randomText(lower + "/%-_.~!:[]{},&*|>'\"@`", 0, 40);
-    if (pattern == "[!-~]{1,128}") {
+    if (pattern == "[!-~]{1,128}" || pattern == "[!-~]{1,256}") {
         std::string printable;
         for (char c = '!'; c <= '~'; ++c)
             printable.push_back(c);
-        return randomText(printable, 1, 128);
+        return randomText(printable, 1, pattern == "[!-~]{1,128}" ? 128 : 256);
     }
     if (pattern == "[A-Za-z0-9-]{1,64}")
         return randomText(lower + "ABCXYZ-", 1, 64);
