Let the settings page test check ranges of 64-bit settings

Cause: settings_page_lists_the_schema expected no range for uint64 settings, so it failed for limits.memory-bytes, whose row in docs/settings.md states the range that the schema has. Change: the test formats ranges of uint64 as of uint32, which is stricter.

--- a/tests/settings_page_test.cpp
+++ b/tests/settings_page_test.cpp
@@ -53,7 +53,8 @@
         range = formatNumber(rule.min()) + " to " + formatNumber(rule.max()) + " entries";
     if (field.cpp_type() == Field::CPPTYPE_STRING)
         range += (range.empty() ? "" : ": ") + rule.expected();
-    if (field.cpp_type() == Field::CPPTYPE_UINT32 || field.cpp_type() == Field::CPPTYPE_DOUBLE)
+    if (field.cpp_type() == Field::CPPTYPE_UINT32 || field.cpp_type() == Field::CPPTYPE_UINT64
+        || field.cpp_type() == Field::CPPTYPE_DOUBLE)
         range = formatNumber(rule.min()) + " to " + formatNumber(rule.max());
     if (field.cpp_type() == Field::CPPTYPE_BOOL)
         range = "true, false";
