Order queues by priority only where the settings ask for it

Cause: routes of earlier deployments have priorities, so ordering by rank and the admission of parents changed how they are served. Open: why fewer requests reach an endpoint when queues are ordered by rank.

--- a/include/berylspur/admission/slot_scheduler.h
+++ b/include/berylspur/admission/slot_scheduler.h
@@ -39,6 +39,7 @@
     /// For benchmarks: one FIFO queue for both classes and no reserved slots; short nested calls
     /// keep their own queue.
     bool firstComeFirstServed = false;
+    bool byPriority = true; ///< false: all requests have the same rank
     std::uint32_t shortQueuePerSlot = 2; ///< queued short requests per slot
     std::uint32_t longQueuePerSlot = 2; ///< queued long requests per slot
     /// Queued nested calls per slot. A queued nested call occupies the slot of its parent request,
--- a/src/admission/slot_scheduler.cpp
+++ b/src/admission/slot_scheduler.cpp
@@ -291,7 +291,7 @@
 
 std::uint32_t SlotScheduler::rankOf(const QueuedRequest &request) const
 {
-    return m_policy.firstComeFirstServed ? 0 : request.priority;
+    return m_policy.byPriority && !m_policy.firstComeFirstServed ? request.priority : 0;
 }
 
 bool SlotScheduler::hasQueued(RequestClass requestClass) const
--- a/src/gate/gate_task.cpp
+++ b/src/gate/gate_task.cpp
@@ -68,6 +68,7 @@
           m_dividesRetryBurst(settings.integration().mode() != schema::INTEGRATION_NONE),
           m_withholdsRetryBurst(m_dividesRetryBurst && mayBeRestart(settings)),
           m_retryBurstFrom(BootClock::now() + retryWindow(settings)),
+          m_ordersByPriority(settings.policy().order() == schema::ORDER_PRIORITY),
           m_context(base, membership.table(), peers, customers, settings.node().failure_domain(),
                     settings.policy().pick() == schema::PICK_TWO_RANDOM ? PickMode::TwoRandom
                                                                         : PickMode::OwnerLoad,
@@ -148,6 +149,7 @@
     bool m_dividesRetryBurst;
     bool m_withholdsRetryBurst; // an earlier process of the node may have used it
     TimePoint m_retryBurstFrom;
+    bool m_ordersByPriority; // otherwise requests are admitted whatever room their calls find
     GateContext m_context;
     CallerServer m_callers;
     Timer m_maintenanceTimer;
@@ -210,7 +212,8 @@
         if (!config->deleted())
             applyCallerLimits(config->caller_bounds());
     }
-    m_context.calledServices.setRanks(m_context.routes.priorities());
+    if (m_ordersByPriority)
+        m_context.calledServices.setRanks(m_context.routes.priorities());
     divideRetryBurst();
     m_hasConfiguration = true;
 }
--- a/src/owner/owner_task.cpp
+++ b/src/owner/owner_task.cpp
@@ -43,6 +43,7 @@
     SchedulerPolicy result;
     result.unlimitedQueue = policy.queue() == schema::QUEUE_UNLIMITED;
     result.firstComeFirstServed = policy.classes() == schema::CLASS_FIRST_COME;
+    result.byPriority = policy.order() == schema::ORDER_PRIORITY;
     return result;
 }
 
--- a/tests/gate_state_test.cpp
+++ b/tests/gate_state_test.cpp
@@ -102,7 +102,9 @@
     const Loop loop;
     MemberTable members(record("self", 1));
     PeerPool peers(loop.base, {"fleet", "self", 1});
-    GateContext context(loop.base, members, peers, "domain", PickMode::OwnerLoad, {}, "");
+    const CustomerTable customers;
+    GateContext context(loop.base, members, peers, customers, "domain", PickMode::OwnerLoad, {},
+                        "");
     members.merge(owner(0), Start);
     auto config = service(0, false);
     for (const std::uint32_t priority : {0U, 2U}) {
--- a/tests/owner_task_test.cpp
+++ b/tests/owner_task_test.cpp
@@ -85,6 +85,7 @@
     {
         schema::NodeSettings result;
         result.mutable_policy()->set_detection(detection);
+        result.mutable_policy()->set_order(schema::ORDER_PRIORITY);
         result.mutable_node()->set_name("owner");
         result.mutable_addresses()->set_announce(announceAddress.toString());
         return result;
--- a/tests/schema_generator.h
+++ b/tests/schema_generator.h
@@ -86,6 +86,8 @@
             {"INTEGRATION_PLATFORM", "platform"},
             {"QUEUE_DEADLINE", "deadline"},
             {"QUEUE_UNLIMITED", "unlimited"},
+            {"ORDER_ARRIVAL", "arrival"},
+            {"ORDER_PRIORITY", "priority"},
             {"CLASS_RESERVE", "reserve"},
             {"CLASS_FIRST_COME", "first-come"},
             {"PICK_OWNER_LOAD", "owner-load"},
