--- a/include/berylspur/admission/slot_scheduler.h
+++ b/include/berylspur/admission/slot_scheduler.h
@@ -39,7 +39,6 @@
     /// For benchmarks: one FIFO queue for both classes and no reserved slots; short nested calls
     /// keep their own queue.
     bool firstComeFirstServed = false;
-    bool byPriority = true; ///< false: all requests have the same rank
     std::uint32_t shortQueuePerSlot = 2; ///< queued short requests per slot
     std::uint32_t longQueuePerSlot = 2; ///< queued long requests per slot
     /// Queued nested calls per slot. A queued nested call occupies the slot of its parent request,
@@ -47,6 +46,7 @@
     /// queue and take precedence over other requests, which matters when services that call each
     /// other peak together.
     std::uint32_t nestedCallQueuePerSlot = 3;
+    bool byPriority = true; ///< false: all requests have the same rank
 };
 
 /// Reason for not queueing a request, and the time after which to retry.
