Bound the documents that the YAML loader reads, and give a gate test its field limit

A stack of the process shows YAML::LoadAll() in parseYaml(): for some malformed texts the parser returns documents without end. Any settings file or manifest that is damaged in this way would use up the memory of the process that reads it. Change: the number of documents is checked with at most two steps of the parser before the document is loaded. gate_quota_test builds its settings without defaults and got 431 from the new limit on header fields (4 failures).

--- a/src/settings/yaml_loader.cpp
+++ b/src/settings/yaml_loader.cpp
@@ -13,6 +13,7 @@
 #include <regex>
 #include <sstream>
 #include <type_traits>
+#include <yaml-cpp/eventhandler.h>
 #include <yaml-cpp/yaml.h>
 
 namespace berylspur {
@@ -413,6 +414,40 @@
     std::vector<std::string> *m_warnings; // of lenient fields; null: they are checked like others
 };
 
+/// Ignores the content of a document.
+class DocumentSkipper : public YAML::EventHandler
+{
+public:
+    void OnDocumentStart(const YAML::Mark &) override { }
+    void OnDocumentEnd() override { }
+    void OnNull(const YAML::Mark &, YAML::anchor_t) override { }
+    void OnAlias(const YAML::Mark &, YAML::anchor_t) override { }
+    void OnScalar(const YAML::Mark &, const std::string &, YAML::anchor_t,
+                  const std::string &) override
+    {
+    }
+    void OnSequenceStart(const YAML::Mark &, const std::string &, YAML::anchor_t,
+                         YAML::EmitterStyle::value) override
+    {
+    }
+    void OnSequenceEnd() override { }
+    void OnMapStart(const YAML::Mark &, const std::string &, YAML::anchor_t,
+                    YAML::EmitterStyle::value) override
+    {
+    }
+    void OnMapEnd() override { }
+};
+
+/// True if \a text holds exactly one document. YAML::LoadAll() is not used because for some
+/// malformed texts its parser returns documents without end, until the memory is used up.
+bool hasOneDocument(const std::string &text)
+{
+    std::istringstream stream(text);
+    YAML::Parser parser(stream);
+    DocumentSkipper skipper;
+    return parser.HandleNextDocument(skipper) && !parser.HandleNextDocument(skipper);
+}
+
 } // namespace
 
 YamlErrorCodes manifestErrorCodes()
@@ -426,10 +461,9 @@
 {
     message.Clear();
     try {
-        const auto documents = YAML::LoadAll(std::string(text));
-        if (documents.size() != 1)
+        if (!hasOneDocument(std::string(text)))
             return failure(codes.syntax, file + ":1: expected one YAML document");
-        return Loader(file, codes, warnings).fill(message, documents.front(), "");
+        return Loader(file, codes, warnings).fill(message, YAML::Load(std::string(text)), "");
     } catch (const YAML::Exception &error) {
         const int line = std::max(error.mark.line, 0) + 1;
         return failure(codes.syntax,
--- a/tests/gate_quota_test.cpp
+++ b/tests/gate_quota_test.cpp
@@ -27,6 +27,7 @@
     settings.mutable_addresses()->set_caller(caller.toString());
     settings.mutable_limits()->set_max_requests_in_flight(1000);
     settings.mutable_limits()->set_max_header_bytes(16384);
+    settings.mutable_limits()->set_max_header_fields(256);
     return settings;
 }
 
