--- a/review/stand-2/harness.h
+++ b/review/stand-2/harness.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <arpa/inet.h>
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
