--- a/review/stand-2/harness.h
+++ b/review/stand-2/harness.h
@@ -395,7 +395,7 @@
     struct Door
     {
         std::atomic<bool> isCut = false; ///< nothing passes in either direction
-        std::atomic<int> delayMs = 0;
+        std::atomic<bool> isBusy = false; ///< every call gets 503
         std::unique_ptr<Server> server;
         std::string name;
     };
@@ -468,9 +468,13 @@
     {
         // What a cut holds up passes once it has healed, as on a link that drops packets.
         waitWhileCut(door);
-        sleepMs(4 + door.delayMs);
+        sleepMs(4);
+        if (door.isBusy)
+            return {503, {}, "{}"};
         auto answer = handle(door, request, socket);
         waitWhileCut(door);
+        if (door.isBusy)
+            return {503, {}, "{}"};
         return answer;
     }
     void waitWhileCut(const Door &door) const
