--- a/review/stand-2/harness.h
+++ b/review/stand-2/harness.h
@@ -602,6 +602,7 @@
     int retrySlack = 60;
     double floorShare = 0.7;
     std::string gracePeriod = "6s";
+    int peerAdvertised = 0; ///< port by which other nodes reach this one; 0: its own peer port
 };
 
 /// A machine's node, started as deploy/system.toml says, with settings that have the layout of
@@ -625,6 +626,8 @@
     const std::string &service() const { return m_options.service; }
     pid_t pid() const { return m_pid; }
 
+    /// Other nodes reach this one at \a port.
+    void advertise(int port) { m_options.peerAdvertised = port; }
     void start(bool isFirst)
     {
         const auto file = m_directory + "/" + m_options.name + ".yaml";
@@ -677,6 +680,9 @@
         text << "fleet: berylspur\nnode:\n  name: " << m_options.name
              << "\n  region: region-1\n  failure-domain: " << m_options.zone
              << "\naddresses:\n  caller: " << at(outbound) << "\n  peer: " << at(peer)
+             << (m_options.peerAdvertised == 0
+                         ? std::string()
+                         : "\n  peer-advertised: " + at(m_options.peerAdvertised))
              << "\n  announce: " << at(admin) << "\n  admin: " << at(status)
              << "\n  admin-remote: true\n  readiness: " << at(readiness)
              << "\nplatform: " << m_options.platform
@@ -706,6 +712,170 @@
     const int readiness;
 };
 
+/// Links between the nodes. Each node is reached at a port of its link, for TCP and UDP. A node that
+/// is cut off exchanges nothing with the others; it still reaches itself and the store. Cuts are
+/// silent: what is sent meanwhile is held (TCP) or lost (UDP).
+class Links
+{
+public:
+    /// Adds the link to the node \a name, which listens at \a peerPort. Returns its port.
+    int add(const std::string &name, int peerPort)
+    {
+        auto link = std::make_unique<Link>();
+        auto *raw = link.get();
+        raw->name = name;
+        raw->target = peerPort;
+        raw->port = freePort();
+        const auto address = toSockaddr("127.0.0.1", raw->port);
+        raw->tcp = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        raw->udp = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+        const int on = 1;
+        setsockopt(raw->tcp, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+        if (bind(raw->tcp, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0
+            || bind(raw->udp, reinterpret_cast<const sockaddr *>(&address), sizeof address) != 0
+            || listen(raw->tcp, 512) != 0) {
+            std::perror("link cannot listen");
+            std::exit(2);
+        }
+        m_nodeOfPort[peerPort] = name;
+        m_links.push_back(std::move(link));
+        m_threads.emplace_back([this, raw] { forwardPackets(*raw); });
+        m_threads.emplace_back([this, raw] { acceptConnections(*raw); });
+        return raw->port;
+    }
+    void cutOff(const std::string &name)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_cut = name;
+    }
+    void heal() { cutOff({}); }
+    void stop()
+    {
+        m_stop = true;
+        for (auto &thread : m_threads)
+            thread.join();
+        m_threads.clear();
+        while (m_open > 0)
+            sleepMs(5);
+        for (auto &link : m_links) {
+            ::close(link->tcp);
+            ::close(link->udp);
+        }
+    }
+
+private:
+    struct Link
+    {
+        std::string name; ///< of the node behind it
+        int target = 0;
+        int port = 0;
+        int tcp = -1;
+        int udp = -1;
+    };
+
+    bool isCut(const std::string &from, const std::string &to)
+    {
+        const std::lock_guard lock(m_mutex);
+        return !m_cut.empty() && (from == m_cut) != (to == m_cut);
+    }
+    void forwardPackets(Link &link)
+    {
+        const auto target = toSockaddr("127.0.0.1", link.target);
+        while (!m_stop) {
+            pollfd entry {link.udp, POLLIN, 0};
+            if (poll(&entry, 1, 50) <= 0)
+                continue;
+            char buffer[65536];
+            sockaddr_in from {};
+            socklen_t size = sizeof from;
+            const auto n = recvfrom(link.udp, buffer, sizeof buffer, 0,
+                                    reinterpret_cast<sockaddr *>(&from), &size);
+            const auto source = m_nodeOfPort.find(ntohs(from.sin_port));
+            if (n > 0 && source != m_nodeOfPort.end() && !isCut(source->second, link.name))
+                sendto(link.udp, buffer, static_cast<std::size_t>(n), 0,
+                       reinterpret_cast<const sockaddr *>(&target), sizeof target);
+        }
+    }
+    void acceptConnections(Link &link)
+    {
+        while (!m_stop) {
+            pollfd entry {link.tcp, POLLIN, 0};
+            if (poll(&entry, 1, 50) <= 0)
+                continue;
+            const int fd = accept4(link.tcp, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
+            if (fd < 0)
+                continue;
+            ++m_open;
+            std::thread([this, &link, fd] {
+                forward(link, fd);
+                --m_open;
+            }).detach();
+        }
+    }
+    /// The first bytes of a connection between nodes hold the name of the node that opened it.
+    std::string sourceOf(const std::string &bytes)
+    {
+        for (const auto &[port, name] : m_nodeOfPort) {
+            if (bytes.find(name) != std::string::npos)
+                return name;
+        }
+        return {};
+    }
+    void forward(Link &link, int fd)
+    {
+        Socket caller(fd);
+        const int on = 1;
+        setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        std::string first;
+        std::string source;
+        char buffer[65536];
+        while (!m_stop && source.empty()) {
+            pollfd entry {fd, POLLIN, 0};
+            if (poll(&entry, 1, 50) <= 0)
+                continue;
+            const auto n = recv(fd, buffer, sizeof buffer, MSG_DONTWAIT);
+            if (n == 0 || (n < 0 && errno != EAGAIN))
+                return;
+            first.append(buffer, n > 0 ? static_cast<std::size_t>(n) : 0);
+            source = sourceOf(first);
+        }
+        const auto waitWhileCut = [&] {
+            while (!m_stop && isCut(source, link.name) && !caller.isEnded())
+                sleepMs(5);
+        };
+        waitWhileCut();
+        Socket node;
+        if (m_stop || !node.connect("127.0.0.1", link.target, 1000) || !node.write(first))
+            return;
+        setsockopt(node.fd(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        const int ends[] = {fd, node.fd()};
+        while (!m_stop) {
+            waitWhileCut();
+            pollfd entries[] = {{ends[0], POLLIN, 0}, {ends[1], POLLIN, 0}};
+            if (poll(entries, 2, 50) <= 0)
+                continue;
+            for (int i = 0; i < 2; ++i) {
+                if (entries[i].revents == 0)
+                    continue;
+                const auto n = recv(ends[i], buffer, sizeof buffer, MSG_DONTWAIT);
+                if (n == 0 || (n < 0 && errno != EAGAIN))
+                    return;
+                auto &other = i == 0 ? node : caller;
+                if (n > 0 && !other.write({buffer, static_cast<std::size_t>(n)}))
+                    return;
+            }
+        }
+    }
+
+    std::mutex m_mutex;
+    std::string m_cut; ///< node that is cut off; empty: none
+    std::map<int, std::string> m_nodeOfPort;
+    std::vector<std::unique_ptr<Link>> m_links;
+    std::vector<std::thread> m_threads;
+    std::atomic<bool> m_stop = false;
+    std::atomic<int> m_open = 0;
+};
+
 /// One run of a request at an endpoint.
 struct Run
 {
