--- a/review/stand-2/harness.h
+++ b/review/stand-2/harness.h
@@ -134,7 +134,8 @@
 {
 public:
     explicit Socket(int fd = -1) : m_fd(fd) { }
-    Socket(Socket &&other) noexcept : m_fd(std::exchange(other.m_fd, -1)), m_input(other.m_input) { }
+    Socket(Socket &&other) noexcept
+        : m_fd(std::exchange(other.m_fd, -1)), m_input(other.m_input) { }
     ~Socket() { close(); }
     int fd() const { return m_fd; }
     void close()
@@ -459,8 +460,8 @@
             return;
         ++m_revision;
         if (object.is_null())
-            object = {{"metadata", {{"name", name}, {"createdAt", wallMs()},
-                                    {"deletionPending", false}}},
+            object = {{"metadata",
+                       {{"name", name}, {"createdAt", wallMs()}, {"deletionPending", false}}},
                       {"status", nullptr}};
         object["metadata"]["revision"] = m_revision;
         object["metadata"]["finalizers"] = finalizers;
@@ -695,10 +696,10 @@
              << "\n  admin-remote: true\n  readiness: " << at(readiness)
              << "\nplatform: " << m_options.platform
              << "\nlimits:\n  response-buffer-bytes: 1048576\nintegration:\n  mode: platform\n"
-             << "  service: " << m_options.service << "\n  endpoint: " << m_options.endpoint
-             << "\n"
-             << (isFirst ? "" : "  find-endpoint: true\n") << "  retry-ratio: "
-             << m_options.retryRatio << "\n  retry-slack: " << m_options.retrySlack
+             << "  service: " << m_options.service << "\n  endpoint: " << m_options.endpoint << "\n"
+             << (isFirst ? "" : "  find-endpoint: true\n")
+             << "  retry-ratio: " << m_options.retryRatio
+             << "\n  retry-slack: " << m_options.retrySlack
              << "\n  floor-share: " << m_options.floorShare << "\n"
              << (m_options.hasQuotas ? "  quota-slack: 20\n" : "")
              << "  endpoint-lease-ms: 20000\n  grace-period: " << m_options.gracePeriod
@@ -720,9 +721,9 @@
     const int readiness;
 };
 
-/// Links between the nodes. Each node is reached at a port of its link, for TCP and UDP. A node that
-/// is cut off exchanges nothing with the others; it still reaches itself and the store. Cuts are
-/// silent: what is sent meanwhile is held (TCP) or lost (UDP).
+/// Links between the nodes. Each node is reached at a port of its link, for TCP and UDP. A node
+/// that is cut off exchanges nothing with the others; it still reaches itself and the store. Cuts
+/// are silent: what is sent meanwhile is held (TCP) or lost (UDP).
 class Links
 {
 public:
@@ -904,10 +905,12 @@
     Endpoint(std::string id, std::string service, int slots, int workMs = 20, Work work = {},
              int backlog = 512)
         : id(std::move(id)), service(std::move(service)), slots(slots), workMs(workMs),
-          m_work(std::move(work)),
-          m_server("127.0.0.1", [this](const Message &request, const Socket &socket) {
-              return serve(request, socket);
-          }, backlog)
+          m_work(std::move(work)), m_server(
+                                           "127.0.0.1",
+                                           [this](const Message &request, const Socket &socket) {
+                                               return serve(request, socket);
+                                           },
+                                           backlog)
     {
     }
     ~Endpoint() { stop(); }
@@ -985,7 +988,7 @@
         }
         if (!isNoted || isNoted(request.target()))
             note("run       " + requestId + " at " + id + " of " + service + ", path "
-             + request.target() + ", tenant " + request.header("X-Tenant-Id"));
+                 + request.target() + ", tenant " + request.header("X-Tenant-Id"));
         Answer answer;
         if (m_work) {
             answer = m_work(request, socket);
@@ -1017,9 +1020,8 @@
                        const std::string &path, const std::string &id, Headers extra = {},
                        int deadlineMs = 6000)
 {
-    Headers headers {{"Host", host},
-                     {"X-Request-Id", id},
-                     {"X-Deadline-Ms", std::to_string(deadlineMs)}};
+    Headers headers {
+            {"Host", host}, {"X-Request-Id", id}, {"X-Deadline-Ms", std::to_string(deadlineMs)}};
     headers.insert(headers.end(), extra.begin(), extra.end());
     note("sent      " + id + " at " + node.name() + ": " + method + " " + host + path);
     const auto answer = ask("127.0.0.1", node.outbound, method, path, headers, {}, deadlineMs);
