--- a/review/stand-2/harness.h
+++ b/review/stand-2/harness.h
@@ -14,6 +14,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <map>
@@ -1097,8 +1098,7 @@
 public:
     Directory()
     {
-        const char *base = std::getenv("TMPDIR");
-        std::string pattern = std::string(base ? base : "/tmp") + "/review-XXXXXX";
+        std::string pattern = (std::filesystem::temp_directory_path() / "review-XXXXXX").string();
         path = mkdtemp(pattern.data());
     }
     ~Directory()
