Review: one header for the stand-ins of cases 6 to 10, outside the cases' folders

No case is changed but for the path of the header. 6: a request that cannot be repeated runs at two endpoints (TWICE). 7: a request at work at a sound endpoint is never answered (LOST). 8: a restarted node that is cut off grants a whole allotment again (QUOTA). 9: an endpoint that left is used again (DRAIN). 10: three machines in touch go on with an old version (CONFIG).

--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -1,7 +1,7 @@
 // Case 6: a connect to an endpoint that takes a second is reported as "not run", but its request is
 // sent after all if the connect completes before the loop of the node comes round again. The
 // request runs there and at a second endpoint.
-#include "../stand-2/harness.h"
+#include "../harness-2.h"
 
 using namespace harness;
 
--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,7 +1,7 @@
 // Case 9: all nodes are killed right after one has acknowledged that its endpoint leaves, and start
 // while the store is down. A late check-in then brings the endpoint back, though the store has its
 // departure all the time.
-#include "../stand-2/harness.h"
+#include "../harness-2.h"
 
 using namespace harness;
 
