Review: a withdrawn key is accepted while the store turns two machines away

Only two nodes of a zone watch the store. While it turns these two away, the others, which it serves, keep the old configuration and run requests with a key that was taken away, later than configApply + maxSkew after the ack.

--- a/review/harness-3.h
+++ b/review/harness-3.h
@@ -26,6 +26,7 @@
 #include <poll.h>
 #include <sstream>
 #include <string>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
@@ -358,6 +359,42 @@
     }
     std::atomic<int> delayMs {4};
 
+    /// An address of its own for one machine, at which the store may turn that machine away.
+    class Door
+    {
+    public:
+        Door(Store &store, const std::string &ip, int port)
+            : m_store(store), m_listener(ip, port, [this](const auto &connection) {
+                  {
+                      const std::lock_guard lock(m_mutex);
+                      m_open.push_back(connection);
+                  }
+                  m_store.serve(connection, this);
+              })
+        {
+        }
+        /// From now on calls get 503, and those that wait are cut off. The store stays the same for
+        /// all other machines.
+        void refuse(bool refuses)
+        {
+            m_refuses = refuses;
+            const std::lock_guard lock(m_mutex);
+            for (const auto &connection : m_open) {
+                if (const auto open = connection.lock(); open && refuses)
+                    open->shutdownNow();
+            }
+        }
+        bool refuses() const { return m_refuses; }
+        std::atomic<int> watches {0}; ///< waiting now
+
+    private:
+        Store &m_store;
+        std::mutex m_mutex;
+        std::atomic<bool> m_refuses {false};
+        std::vector<std::weak_ptr<Connection>> m_open;
+        Listener m_listener;
+    };
+
 private:
     struct Object
     {
@@ -393,13 +430,19 @@
         m_changed.notify_all();
         return object.value;
     }
-    void serve(const std::shared_ptr<Connection> &connection)
+    void serve(const std::shared_ptr<Connection> &connection, Door *door = nullptr)
     {
         for (;;) {
             const auto request = connection->read(milliseconds(60000), false);
             if (request.first.empty())
                 return;
-            const auto [status, body] = handle(request);
+            const bool waits = door && request.target().find("watch=") != std::string::npos;
+            if (waits)
+                ++door->watches;
+            const auto [status, body] = door && door->refuses() ? std::pair {503, json::object()}
+                                                                : handle(request);
+            if (waits)
+                --door->watches;
             pause(delayMs);
             if (!connection->send(
                         responseText(status, {"Content-Type: application/json"}, body.dump()))
@@ -709,6 +752,7 @@
         const auto log = (m_folder / (name + ".log")).string();
         m_pid = fork();
         if (m_pid == 0) {
+            prctl(PR_SET_PDEATHSIG, SIGKILL);
             const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             dup2(fd, 1);
             dup2(fd, 2);
