--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,122 +1,111 @@
-// Case 9: all nodes are killed right after one has acknowledged that its endpoint leaves, and start
-// while the store is down. A late check-in then brings the endpoint back, though the store has its
-// departure all the time.
-#include "../harness-2.h"
+// The store turns away two of six machines, and a key is taken away meanwhile. The other machines,
+// which the store serves, must not accept it for longer than the bound.
+#include "../harness-3.h"
 
-using namespace harness;
+using namespace review;
 
 namespace {
 
-constexpr int Machines = 3;
-constexpr int DrainMs = 2000; ///< drainTimeout
-constexpr int StabilityMs = 3000; ///< stabilityWindow
-constexpr int StoreDownMs = 2500; ///< for_s of platform_down is 4.5 s
-constexpr int LateMs = 6000; ///< after the ack: delay of the late check-in
+constexpr int Machines = 6;
+constexpr double ConfigApplyS = 2.5;
+constexpr double MaxSkewS = 5;
+constexpr double RefusedS = 9;
+const std::string Withdrawn = "cruddedev3nax7u27gxp";
+const std::string Kept = "rymh2rrytapjsujqurty";
 
-} // namespace
+json resources(const json &keys)
+{
+    auto customer = tenant("bozi300", Kept, 118, 118);
+    customer["spec"]["apiKeys"] = keys;
+    return {route("reads", "/read/", "idempotent", "dziennik", "2500ms"), service("dziennik"),
+            customer, limits()};
+}
 
-int main()
+int body(const std::filesystem::path &folder)
 {
-    Record::instance().open("review/9/record.txt");
-    Directory directory;
-    Store store;
-    store.put("config", "main",
-              configuration(3, json::array({serviceResource("svc-a"), limitsResource(),
-                                            routeResource("r-1", "shop.example", "/book/",
-                                                          "non_idempotent", "svc-a")})));
-    std::vector<Store::Door *> doors;
-    std::vector<std::unique_ptr<Endpoint>> endpoints;
+    auto &store = *new Store("127.0.0.1", freePorts(1)); // its threads use it to the end
+    const auto work = [](const Message &, const std::function<bool()> &) {
+        pause(20);
+        return Reply {};
+    };
     std::vector<std::unique_ptr<Node>> nodes;
+    std::vector<Endpoint *> endpoints;
+    std::vector<Store::Door *> doors;
     for (int i = 0; i < Machines; ++i) {
-        const auto name = "sidecar-" + std::to_string(i);
-        doors.push_back(&store.addDoor(name));
-        endpoints.push_back(std::make_unique<Endpoint>("i-" + std::to_string(i), "svc-a", 4, 20));
-        nodes.push_back(
-                std::make_unique<Node>(NodeOptions {.name = name,
-                                                    .service = "svc-a",
-                                                    .endpoint = endpoints.back()->address(),
-                                                    .platform = doors.back()->server->address()},
-                                       directory.path));
-        nodes.back()->start(true);
-        if (i > 0)
-            endpoints.back()->checkInAt(*nodes.back());
+        const auto number = std::to_string(i + 1);
+        const auto ip = "127.0.0." + std::to_string(i + 2);
+        const int port = freePorts(1);
+        doors.push_back(new Store::Door(store, "127.0.0.1", port));
+        endpoints.push_back(new Endpoint("i-" + number, "dziennik", ip, freePorts(1), 5, work));
+        nodes.push_back(std::make_unique<Node>("node-" + number, ip, *endpoints[i], port, bounds(),
+                                               folder));
     }
-    auto &leaving = *endpoints[0];
-    const auto call = [&](const std::string &name, const json &body) {
-        const auto status =
-                ask("127.0.0.1", nodes[0]->admin, "POST",
-                    "/v1/rpc?call=instances." + name + "&of=" + leaving.id,
-                    {{"Host", "node"}, {"Content-Type", "application/json"}}, body.dump(), 1000)
-                        .status();
-        note(name + " of " + leaving.id + ", sequence "
-             + (body.contains("sequence") ? body["sequence"].dump() : "none") + ", answered with "
-             + std::to_string(status));
-        return status;
-    };
-    const auto stopAll = [&] {
-        for (auto &endpoint : endpoints)
-            endpoint->stop();
-        nodes.clear();
-        store.stop();
-    };
-    const bool allReady = waitFor(
-            [&] {
-                return std::all_of(nodes.begin(), nodes.end(),
-                                   [](const auto &node) { return node->isReady(); });
-            },
-            15000);
-    call("heartbeat", leaving.checkInBody());
-    const auto lateCheckIn = leaving.checkInBody(); // sent now, arrives late
-    sleepMs(3000);
-    for (int i = 0; i < 40; ++i)
-        request(*nodes[1 + i % 2], "POST", "shop.example", "/book/x", "calm-" + std::to_string(i));
-    const auto calm = leaving.runs().size();
-
-    leaving.state = "draining"; // its health probe says so from now on
-    const auto acked = call("deregister", {{"born", leaving.born}});
-    const auto ackedAt = nowMs();
-    if (!allReady || calm == 0 || acked != 200) {
-        std::fprintf(stderr, "no calm start: ready %d, runs %zu, ack %d\n", allReady, calm, acked);
-        stopAll();
-        return 2;
+    store.configure("00000005", resources({Withdrawn, Kept}));
+    for (int i = 0; i < Machines; ++i) {
+        nodes[i]->start(true);
+        endpoints[i]->announceTo(nodes[i]->ip, nodes[i]->admin);
     }
-    if (trouble()) {
-        sleepMs(200);
-        for (auto *door : doors)
-            door->isBusy = true;
-        note("disruption: the store is down (503)");
-        sleepMs(100);
-        for (auto &node : nodes)
-            node->signal(SIGKILL);
-        for (auto &node : nodes)
-            node->waitForEnd(1000);
-        note("disruption: all processes are killed");
-        sleepMs(200);
-        for (auto &node : nodes)
-            node->start(false);
-        sleepMs(ackedAt + 200 + StoreDownMs - nowMs());
-        for (auto *door : doors)
-            door->isBusy = false;
-        note("the store is back");
+    require("nodes are ready", milliseconds(20000), [&] {
+        return std::all_of(nodes.begin(), nodes.end(), [](auto &node) { return node->isReady(); });
+    });
+    // The machines that have a call waiting at the store are those that it turns away. Right after
+    // the start all of them have one.
+    std::vector<int> refused;
+    const auto findWatchers = [&] {
+        refused.clear();
+        for (int i = 0; i < Machines; ++i) {
+            if (doors[i]->watches > 0)
+                refused.push_back(i);
+        }
+        return refused.size() == 2;
+    };
+    require("two machines watch the store", milliseconds(45000), findWatchers);
+    pause(3000);
+    require("two machines watch the store", milliseconds(5000), findWatchers);
+    const double from = seconds();
+    for (const int i : refused) {
+        note("store: " + std::string(hasTrouble() ? "turns away " : "serves ") + nodes[i]->name);
+        if (hasTrouble())
+            doors[i]->refuse(true);
     }
-    sleepMs(ackedAt + LateMs - nowMs());
-    const auto runsBefore = leaving.runs().size();
-    call("heartbeat", lateCheckIn);
-    int served = 0;
-    for (int i = 0; i < 60; ++i) {
-        served += request(*nodes[1 + i % 2], "POST", "shop.example", "/book/x",
-                          "after-" + std::to_string(i))
-                          .status()
-                  == 200;
-        sleepMs(50);
+    pause(200);
+    store.configure("00000009", resources({Kept}));
+    const double acknowledged = seconds();
+
+    int sent = 0;
+    int broken = 0;
+    while (seconds() < from + RefusedS - 0.2) {
+        for (int i = 0; i < Machines; ++i) {
+            if (std::find(refused.begin(), refused.end(), i) != refused.end())
+                continue;
+            const auto id = "r" + std::to_string(sent++) + ".";
+            const double age = seconds() - acknowledged;
+            Connection connection(nodes[i]->ip, nodes[i]->caller);
+            connection.send(requestText("GET", "/read/x", id, 2000, {"X-Key: " + Withdrawn}));
+            const auto answer = connection.read(milliseconds(3000), true);
+            const bool isLate = age > ConfigApplyS + MaxSkewS;
+            const bool isBroken = isLate && answer.status() == 200;
+            broken += isBroken ? 1 : 0;
+            char text[160];
+            std::snprintf(text, sizeof text,
+                          "%s with the key taken away, %.1f s after the ack: %s%s",
+                          nodes[i]->name.c_str(), age, describe(answer).c_str(),
+                          isBroken ? ", broken" : "");
+            note(text);
+        }
+        pause(200);
     }
-    int reached = 0;
-    const auto runs = leaving.runs();
-    for (auto i = runsBefore; i < runs.size(); ++i)
-        reached += runs[i].at > ackedAt + DrainMs && runs[i].at > ackedAt + 2700 + StabilityMs;
-    note("requests that ran at " + leaving.id + " more than drainTimeout after the ack: "
-         + std::to_string(reached) + " of 60, answered with success: " + std::to_string(served));
-    stopAll();
-    std::printf("case 9: %d requests reached the endpoint that had left\n", reached);
-    return reached > 0 ? 1 : 0;
+    for (auto *door : doors)
+        door->refuse(false);
+    note("store: serves all machines");
+    note("requests that ran with the key later than " + std::to_string(ConfigApplyS + MaxSkewS)
+         + " s after the ack: " + std::to_string(broken));
+    return broken > 0 ? Broken : Held;
+}
+
+} // namespace
+
+int main()
+{
+    return runCase("review/9", body);
 }
--- a/review/harness-3.h
+++ b/review/harness-3.h
@@ -1,4 +1,4 @@
-// Stand-ins and helpers of the review cases 11 and up: the platform's store, endpoints, callers and
+// Stand-ins and helpers of the cases 6, 7, 9 and 10: the platform's store, endpoints, callers and
 // nodes as processes. All of it runs on loopback addresses. One thread serves each connection.
 #pragma once
 
@@ -11,8 +11,8 @@
 #include <cstdlib>
 #include <cstring>
 #include <ctime>
-#include <filesystem>
 #include <fcntl.h>
+#include <filesystem>
 #include <fstream>
 #include <functional>
 #include <iostream>
@@ -256,8 +256,7 @@
         for (;;) {
             if (m_isClosed)
                 return false;
-            const auto left =
-                    std::chrono::duration_cast<milliseconds>(end - Clock::now()).count();
+            const auto left = std::chrono::duration_cast<milliseconds>(end - Clock::now()).count();
             if (left <= 0)
                 return false;
             pollfd entry {m_fd, POLLIN, 0};
@@ -415,9 +414,9 @@
         if (object.revision != 0 && object.value["spec"] == spec)
             return object.value;
         object.revision = ++m_revision;
-        const auto created = object.value.is_null() ? unixMs()
-                                                    : object.value["metadata"]["createdAt"]
-                                                              .get<std::int64_t>();
+        const auto created = object.value.is_null()
+                                     ? unixMs()
+                                     : object.value["metadata"]["createdAt"].get<std::int64_t>();
         object.value = {{"metadata",
                          {{"name", name},
                           {"revision", m_revision},
@@ -439,8 +438,8 @@
             const bool waits = door && request.target().find("watch=") != std::string::npos;
             if (waits)
                 ++door->watches;
-            const auto [status, body] = door && door->refuses() ? std::pair {503, json::object()}
-                                                                : handle(request);
+            const auto [status, body] =
+                    door && door->refuses() ? std::pair {503, json::object()} : handle(request);
             if (waits)
                 --door->watches;
             pause(delayMs);
@@ -466,8 +465,8 @@
             return {404, json::object()};
         const auto path = target.substr(prefix.size());
         const auto kind = path.substr(0, path.find('/'));
-        const auto name = path.find('/') == std::string::npos ? ""
-                                                              : path.substr(path.find('/') + 1);
+        const auto name =
+                path.find('/') == std::string::npos ? "" : path.substr(path.find('/') + 1);
         if (request.method() == "GET" && query.contains("watch"))
             return watch(kind, std::stoull(query["watch"]), std::stoi(query["waitMs"]));
         std::unique_lock lock(m_mutex);
@@ -562,11 +561,9 @@
     int heartbeat(const std::string &ip, int port, const std::string &state)
     {
         const std::lock_guard lock(m_beatMutex);
-        const json body = {{"service", m_service}, {"address", address()},
-                           {"zone", "zone-a"},     {"version", "v1"},
-                           {"slots", m_slots},     {"state", state},
-                           {"cold", "0ms"},        {"sequence", ++m_sequence},
-                           {"born", m_born}};
+        const json body = {{"service", m_service}, {"address", address()},     {"zone", "zone-a"},
+                           {"version", "v1"},      {"slots", m_slots},         {"state", state},
+                           {"cold", "0ms"},        {"sequence", ++m_sequence}, {"born", m_born}};
         Connection connection(ip, port);
         const auto text = body.dump();
         connection.send("POST /v1/rpc?call=instances.heartbeat&of=" + m_id
@@ -613,8 +610,8 @@
         ++m_running;
         m_runs.push_back(request);
         lock.unlock();
-        note("endpoint " + m_id + " runs " + id + " " + request.first + " tenant="
-             + request.header("X-Tenant-Id"));
+        note("endpoint " + m_id + " runs " + id + " " + request.first
+             + " tenant=" + request.header("X-Tenant-Id"));
         auto reply = m_work(request, [&connection] { return connection.isClosedByPeer(); });
         lock.lock();
         --m_running;
@@ -685,7 +682,9 @@
         at = end + 2;
         if (name[0] != '#' && name[0] != '^') {
             const auto value = lookUp(name);
-            out += value.is_null() ? "" : value.is_string() ? value.get<std::string>() : value.dump();
+            out += value.is_null()     ? ""
+                   : value.is_string() ? value.get<std::string>()
+                                       : value.dump();
             continue;
         }
         const bool isNegated = name[0] == '^';
@@ -741,6 +740,9 @@
     Node(const Node &) = delete;
     Node &operator=(const Node &) = delete;
 
+    /// Whoever collects the node's log stops reading it.
+    void stopReadingLog() { *m_readsLog = false; }
+
     void start(bool isBootstrap)
     {
         m_fields["bootstrap"] = isBootstrap;
@@ -750,16 +752,32 @@
         const auto settings = m_folder / (name + ".yaml");
         std::ofstream(settings) << fillTemplate(text.str(), m_fields, m_fields);
         const auto log = (m_folder / (name + ".log")).string();
+        int ends[2];
+        if (pipe2(ends, O_CLOEXEC) != 0)
+            throw CannotRun;
         m_pid = fork();
         if (m_pid == 0) {
             prctl(PR_SET_PDEATHSIG, SIGKILL);
-            const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-            dup2(fd, 1);
-            dup2(fd, 2);
+            dup2(ends[1], 1);
+            dup2(ends[1], 2);
             execl("target/bin/berylspur-node", "target/bin/berylspur-node", "--settings",
                   settings.c_str(), static_cast<char *>(nullptr));
             _exit(127);
         }
+        close(ends[1]);
+        std::thread([reads = m_readsLog, log, fd = ends[0]] {
+            std::ofstream file(log, std::ios::app);
+            char buffer[4096];
+            while (*reads) {
+                pollfd entry {fd, POLLIN, 0};
+                if (poll(&entry, 1, 20) <= 0 || !*reads)
+                    continue;
+                const auto n = read(fd, buffer, sizeof buffer);
+                if (n <= 0)
+                    return;
+                file << std::string_view(buffer, static_cast<std::size_t>(n)) << std::flush;
+            }
+        }).detach();
         note("platform: " + name + " started");
     }
     void kill(int signal)
@@ -787,6 +805,7 @@
         }
         return std::nullopt;
     }
+    /// Asks as the platform does.
     bool isReady() const
     {
         Connection connection(ip, readiness);
@@ -811,6 +830,7 @@
     std::filesystem::path m_folder;
     json m_fields;
     pid_t m_pid = -1;
+    std::shared_ptr<std::atomic<bool>> m_readsLog = std::make_shared<std::atomic<bool>>(true);
 };
 
 inline std::string requestText(const std::string &method, const std::string &target,
@@ -880,8 +900,11 @@
 /// Bounds as on the sheets of the deployments.
 inline json bounds()
 {
-    return {{"retryBudgetRatio", 0.2}, {"budgetSlack", 60},     {"floorShare", 0.7},
-            {"gracePeriod", "6s"},     {"drainTimeout", "2500ms"}};
+    return {{"retryBudgetRatio", 0.2},
+            {"budgetSlack", 60},
+            {"floorShare", 0.7},
+            {"gracePeriod", "6s"},
+            {"drainTimeout", "2500ms"}};
 }
 
 /// Waits until \a condition holds. Ends the case with CannotRun after \a limit.
