Refuse a request whose body was not kept, also if its route came into force meanwhile

Cause: CallerConnection asks at the head of a large body whether a route matches and does not keep the body if none does; GateRequest::matchRoute() asked again at the end, and nothing said that the body was gone. Ruled out: endpoint, transport and memory budget, since a gate alone goes on to place such a request.

CallerRequest::check() now fails with NotRunBodyDiscarded (4022), so no user of the server can run the request. The gate answers 404 if no route matches at the end either, else 503 with Retry-After, which is true: it has not run and never will.

--- a/include/berylspur/core/error_code.h
+++ b/include/berylspur/core/error_code.h
@@ -59,6 +59,7 @@
     NotRunDisplaced = 4019,
     NotRunMemory = 4020,
     NotRunCalledService = 4021,
+    NotRunBodyDiscarded = 4022,
 
     OutcomeUnknown = 5001,
     OutcomeUnknownKeyHome = 5002,
--- a/include/berylspur/http/caller_request.h
+++ b/include/berylspur/http/caller_request.h
@@ -38,9 +38,12 @@
     /// were read together with them.
     TimePoint arrival() const { return m_arrival; }
 
-    /// Fails with a 3xxx code if the request is malformed, its framing ambiguous, or over a limit.
+    /// Fails with a 3xxx code if the request is malformed, its framing ambiguous, or over a limit,
+    /// and with NotRunBodyDiscarded if the server's body filter declined the body. The request must
+    /// not run then.
     Result<void> check() const;
-    /// As check(), but without a rule for Host, for servers whose responses do not depend on it.
+    /// As check(), but without a rule for Host and without a body filter, for servers whose
+    /// responses do not depend on them.
     Result<void> checkIgnoringHost() const;
 
     /// Sends a complete response.
@@ -78,6 +81,7 @@
 
     // Called by the connection.
     void setArrival(TimePoint arrival) { m_arrival = arrival; }
+    void setBodyDiscarded() { m_isBodyDiscarded = true; }
     void setHeadMemory(MemoryReservation memory) { m_headMemory = std::move(memory); }
     void becameFirst();
     void connectionFlushed();
@@ -90,6 +94,7 @@
     HeaderList m_headers;
     SharedBody m_body;
     Error m_error; // detected while reading the request
+    bool m_isBodyDiscarded = false; // the body filter declined the body; m_body is empty
     TimePoint m_arrival {};
     MemoryReservation m_headMemory; // of the head, counted while the request is open
     bool m_closeAfter = false;
--- a/include/berylspur/http/caller_server.h
+++ b/include/berylspur/http/caller_server.h
@@ -49,7 +49,7 @@
 {
 public:
     using Handler = std::function<void(std::unique_ptr<CallerRequest>)>;
-    /// True if the body of the request with this method, Host and target will be used.
+    /// True if the body of the request with this method, Host and target may be used.
     using BodyFilter = std::function<bool(std::string_view method, std::string_view host,
                                           std::string_view target)>;
 
@@ -65,7 +65,8 @@
     /// Applies to requests that start afterwards.
     void setLimits(const CallerLimits &limits) { m_limits = limits; }
     const CallerLimits &limits() const { return m_limits; }
-    /// Bodies that \a filter declines are read, but not kept.
+    /// A large body that \a filter declines when its head has arrived is read, but not kept;
+    /// CallerRequest::check() then fails, whatever the filter would say later.
     void setBodyFilter(BodyFilter filter) { m_keepsBody = std::move(filter); }
     const CallerCounters &counters() const { return m_counters; }
     /// Closes each connection after its next response.
--- a/src/core/error_code.cpp
+++ b/src/core/error_code.cpp
@@ -86,6 +86,8 @@
         {ErrorCode::NotRunMemory, "NotRunMemory", "the node is at its memory limit"},
         {ErrorCode::NotRunCalledService, "NotRunCalledService",
          "a service that the request calls has no room"},
+        {ErrorCode::NotRunBodyDiscarded, "NotRunBodyDiscarded",
+         "no route matched when the body began to arrive, so it was not kept"},
         {ErrorCode::OutcomeUnknown, "OutcomeUnknown", "it is not known whether the request ran"},
         {ErrorCode::OutcomeUnknownKeyHome, "OutcomeUnknownKeyHome",
          "it is not known whether the idempotency key was used"},
--- a/src/gate/gate_request.cpp
+++ b/src/gate/gate_request.cpp
@@ -51,13 +51,20 @@
 
 void GateRequest::begin()
 {
-    if (const auto checked = m_caller->check(); !checked) {
+    const auto checked = m_caller->check();
+    const bool isBodyDiscarded = !checked && checked.error().code == ErrorCode::NotRunBodyDiscarded;
+    if (!checked && !isBodyDiscarded) {
         m_caller->closeAfterResponse();
         refuse(checked.error().code, checked.error().detail);
         return;
     }
     if (!matchRoute())
         return;
+    // The route came into force while the body was read, so the caller may send it again.
+    if (isBodyDiscarded) {
+        refuse(ErrorCode::NotRunBodyDiscarded);
+        return;
+    }
     m_deadlineTimer.start(std::max(m_deadline - BootClock::now(), Duration::zero()));
     // The effects of pipelined requests must be those of running them in order. Idempotent ones
     // may run side by side; any other starts alone, and the caller may repeat those behind it.
--- a/src/http/caller_connection.cpp
+++ b/src/http/caller_connection.cpp
@@ -422,6 +422,8 @@
             std::move(error));
     request->setArrival(m_lastInput);
     request->setHeadMemory(MemoryReservation(budget, MemoryUse::Bodies, m_headMemory));
+    if (!std::exchange(m_keepsBody, true))
+        request->setBodyDiscarded();
     m_responses.emplace_back(request.get(), m_requestFraming);
     m_parser.reset();
     m_headMemory = 0;
--- a/src/http/caller_request.cpp
+++ b/src/http/caller_request.cpp
@@ -54,7 +54,11 @@
 {
     if (auto checked = checkIgnoringHost(); !checked)
         return checked;
-    return checkHost();
+    if (auto checked = checkHost(); !checked)
+        return checked;
+    if (m_isBodyDiscarded)
+        return failure(ErrorCode::NotRunBodyDiscarded, "the body was not kept");
+    return success();
 }
 
 Result<void> CallerRequest::checkIgnoringHost() const
--- a/tests/gate_quota_test.cpp
+++ b/tests/gate_quota_test.cpp
@@ -1,9 +1,7 @@
 // The check of customer quotas in a gate: which requests take a token, and what a refused one gets.
 #define BOOST_TEST_MODULE gate_quota
 #include "../src/node/quota_home_task.h"
-#include "berylspur/gate/gate_task.h"
-#include "loop.h"
-#include "platform/platform_client.h"
+#include "gate_fixture.h"
 
 #include <boost/test/unit_test.hpp>
 #include <event2/buffer.h>
@@ -18,23 +16,10 @@
 
 namespace {
 
-schema::NodeSettings settingsFor(const Address &peer, const Address &caller)
-{
-    schema::NodeSettings settings;
-    settings.set_fleet("fleet");
-    settings.mutable_node()->set_name("node");
-    settings.mutable_addresses()->set_peer(peer.toString());
-    settings.mutable_addresses()->set_caller(caller.toString());
-    settings.mutable_limits()->set_max_requests_in_flight(1000);
-    settings.mutable_limits()->set_max_header_bytes(16384);
-    settings.mutable_limits()->set_max_header_fields(256);
-    return settings;
-}
-
 /// A gate that is its own home, for a service without endpoints: an admitted request gets 503.
-struct GateFixture
+struct QuotaFixture : GateFixture
 {
-    explicit GateFixture(bool hasHome = true)
+    explicit QuotaFixture(bool hasHome = true)
     {
         schema::CustomerShard shard;
         shard.set_number(customerShard("bozi"));
@@ -45,16 +30,8 @@
         customer->set_burst(2);
         customers.update(shard);
 
-        schema::ServiceConfig config;
-        config.set_service("cantar");
-        config.set_revision(1);
-        config.set_customer_header("X-Customer");
-        auto *route = config.mutable_content()->add_routes();
-        route->set_path_prefix("/");
-        route->set_idempotent(true);
-        route->set_deadline_ms(400);
-        route->set_attempts(1);
-        route->set_anonymous(true);
+        auto config = singleRouteConfig("cantar", 1);
+        config.mutable_content()->mutable_routes(0)->set_anonymous(true);
         gate.configure({&config});
         gate.parentRun.connect([](const std::string &id) {
             ParentRun run;
@@ -94,21 +71,6 @@
     }
     bool hasVotes() { return !home.dump()["shards"].empty(); }
 
-    Loop loop;
-    Address peer = freeAddress();
-    Address caller = freeAddress();
-    schema::NodeSettings settings = settingsFor(peer, caller);
-    PeerIdentity identity {"fleet", "node", 1};
-    PlatformClient platform {loop.base, freeAddress()};
-    PeerPool peers {loop.base, identity};
-    MembershipTask membership {loop.base, settings, 1, platform, peers};
-    CustomerTable customers;
-    HeaderNames names = [] {
-        HeaderNames result;
-        result.callerSetsIdAndDeadline = true;
-        return result;
-    }();
-    GateTask gate {loop.base, settings, membership, peers, customers, names};
     QuotaHomeTask home {loop.base, membership.table(), customers, 1};
     std::unique_ptr<PeerServer> server {
             std::move(PeerServer::listen(loop.base, peer, identity,
@@ -125,7 +87,7 @@
 // a rule that names the quota.
 BOOST_AUTO_TEST_CASE(requests_beyond_the_quota_get_429)
 {
-    GateFixture fixture;
+    QuotaFixture fixture;
     BOOST_TEST(fixture.loop.runUntil([&] { return fixture.hasVotes(); }));
     const auto filled = BootClock::now() + std::chrono::seconds(3);
     fixture.loop.runUntil([&] { return BootClock::now() >= filled; });
@@ -141,13 +103,13 @@
 // Guards against nested calls that count against the quota, and so fail runs that were admitted.
 BOOST_AUTO_TEST_CASE(nested_calls_need_no_token)
 {
-    GateFixture fixture(false);
+    QuotaFixture fixture(false);
     BOOST_TEST(fixture.statusOf("parent.1") == 503);
 }
 
 // Guards against a gate that admits, or keeps waiting, when no home can be reached.
 BOOST_AUTO_TEST_CASE(unreachable_home_refuses)
 {
-    GateFixture fixture(false);
+    QuotaFixture fixture(false);
     BOOST_TEST(fixture.statusOf() == 429);
 }
--- a/tests/http_overload_test.cpp
+++ b/tests/http_overload_test.cpp
@@ -199,7 +199,8 @@
     BOOST_TEST(server.counters().closedForMemory == 1U);
 }
 
-// Guards against bodies that are held although nothing will use them.
+// Guards against bodies that are held although nothing will use them, and against requests that run
+// without the body that was not kept.
 BOOST_FIXTURE_TEST_CASE(body_without_use_is_not_kept, Fixture)
 {
     setLimits([](CallerLimits &) {});
@@ -210,7 +211,7 @@
          {postOf(Limit, "/none") + std::string(Limit, 'x'),
           post("/none", "Transfer-Encoding: chunked\r\n") + chunks(Limit) + "0\r\n\r\n"}) {
         RawCaller caller(address);
-        BOOST_TEST(waitFor(caller, "Code: Ok", text));
+        BOOST_TEST(waitFor(caller, "Code: NotRunBodyDiscarded", text));
         BOOST_TEST(caller.received.find("body 0") != std::string::npos);
     }
     BOOST_TEST(memory.peak() < Limit / 4);
