Let every node read the configuration now and then, so that no change depends on the watchers

Cause: who asks the store was decided by rank alone (ConfigTask::Impl::isWatcher()). The two highest-ranked nodes of a failure domain watch, all others wait for gossip; a watcher that the store rejects stayed watcher, and nobody else asked. Ruled out: gossip, pulls and the customer table, which have the change at once after one call of a served node. Weighed: a takeover (a watcher whose call hangs knows it after 22 s), more watchers (a rejection of those that wait hits them all), polling by each node (grows with the fleet).

The source of a change is logged and counted, as are failed watches and checks. Since each node sees a return of the store from an older copy, lost member objects no longer depend on the watchers either (not shown by a test of its own).

Tests: change_is_in_force_in_time_while_the_platform_rejects_the_watchers (7 rows: 503, reset, silence, most nodes; both kinds of configuration) failed 7 of 7 without the checks (not in force after 20 s, bound 7 s) and passes; rate_of_checks_does_not_grow_with_the_fleet.

--- a/include/berylspur/config/config_task.h
+++ b/include/berylspur/config/config_task.h
@@ -1,5 +1,6 @@
 // Obtains the configuration of this node: the chosen watchers watch the platform, all other nodes
-// pull from peers.
+// pull from peers. Every node also reads the platform's version now and then, so that a change is
+// noticed while the platform rejects all watchers.
 #pragma once
 
 #include "berylspur/config/config_store.h"
@@ -35,6 +36,8 @@
     ConfigTask(const ConfigTask &) = delete;
     ConfigTask &operator=(const ConfigTask &) = delete;
 
+    /// Counters in the Prometheus text format.
+    std::string metrics() const;
     /// Starts the initial fetch from 3 peers, and from the platform if this node is a watcher.
     void start();
     const ConfigStore &store() const;
--- a/src/config/config_task.cpp
+++ b/src/config/config_task.cpp
@@ -1,10 +1,15 @@
-// Watches the platform on the chosen watchers and pulls from peers on all other nodes.
+// Watches the platform on the chosen watchers, checks it now and then on every node, and pulls from
+// peers.
 #include "berylspur/config/config_task.h"
 
+#include "berylspur/core/enum_table.h"
 #include "berylspur/core/log.h"
+#include "berylspur/core/metrics.h"
 #include "berylspur/core/timer.h"
 
 #include <algorithm>
+#include <array>
+#include <random>
 #include <set>
 #include <variant>
 
@@ -32,11 +37,42 @@
 /// Watchers of an external configuration in each failure domain. With a second one, the domain
 /// still receives changes if the platform rejects the first.
 constexpr std::size_t WatchersPerDomain = 2;
+/// Reads of the head by all nodes together, beside the watches. A watcher that the platform
+/// rejects, or whose watch hangs, learns of no change; the next node that reads the head does.
+constexpr double HeadChecksPerSecond = 4;
 /// If more content objects than this change at once, one node of the fleet reads them, and the
 /// watchers of the other failure domains wait LargeChangeDelay for its revision.
 constexpr std::size_t LargeChangeObjects = 16;
 constexpr Duration LargeChangeDelay = seconds(2);
 
+/// How a node learned of a configuration.
+enum class ConfigSource { Watch, Check, Peer };
+
+constexpr EnumTable<ConfigSource, 3> SourceNames {{
+        {ConfigSource::Watch, "watch"},
+        {ConfigSource::Check, "check"},
+        {ConfigSource::Peer, "peer"},
+}};
+
+struct ConfigCounters
+{
+    std::array<std::uint64_t, SourceNames.size()> changes {}; ///< applied, by source
+    std::uint64_t failedWatches = 0;
+    std::uint64_t checks = 0;
+    std::uint64_t failedChecks = 0;
+};
+
+/// Time to the next check of the head by one of \a nodes nodes. It has no lower bound, so that
+/// nodes that start together do not leave a period without checks; the upper bound is twice the
+/// mean.
+Duration headCheckDelay(std::size_t nodes, Random &random)
+{
+    const auto readers = static_cast<double>(std::max<std::size_t>(nodes, 1));
+    const std::chrono::duration<double> mean(readers / HeadChecksPerSecond);
+    const auto longest = std::chrono::duration_cast<Duration>(2 * mean);
+    return Duration(std::uniform_int_distribution<Duration::rep>(0, longest.count())(random));
+}
+
 /// Entry of the head whose content is read from the platform.
 using ContentEntry = std::variant<schema::ManifestHead::Entry, schema::ManifestHead::CustomerEntry>;
 
@@ -91,7 +127,8 @@
         : m_task(task), m_base(base), m_platform(platform), m_peers(peers),
           m_membership(membership), m_external(std::move(external)), m_random(seededRandom()),
           m_watcherCheckTimer(base, [this] { onWatcherCheck(); }),
-          m_watchTimer(base, [this] { readHead(); }), m_pullTimer(base, [this] { pullNewest(); }),
+          m_watchTimer(base, [this] { readHead(); }), m_checkTimer(base, [this] { checkHead(); }),
+          m_pullTimer(base, [this] { pullNewest(); }),
           m_initialTimer(base, [this] { pullInitial(); }),
           m_fetchTimer(base, [this] { fetchMore(); }),
           m_revisionSeenConnection(membership.revisionSeen.connect(
@@ -124,6 +161,7 @@
     const ConfigStore &store() const { return m_store; }
     bool isReady() const { return m_store.revision() > 0 && (m_external || m_initialDone); }
     std::string handlePull(const std::string &envelope) const;
+    std::string metrics() const;
 
 private:
     void onJoined();
@@ -136,10 +174,13 @@
     // Platform.
     void readHead();
     void watchHead();
+    void requestHead(std::function<void(const Result<PlatformObject> &)> done);
+    void scheduleHeadCheck();
+    void checkHead();
     const char *headObject() const { return m_external ? m_external->object.c_str() : HeadObject; }
-    void onObject(const PlatformObject &object);
-    void onExternalObject(const PlatformObject &object);
-    void onHead(const PlatformObject &object);
+    void onObject(const PlatformObject &object, ConfigSource source);
+    void onExternalObject(const PlatformObject &object, ConfigSource source);
+    void onHead(const PlatformObject &object, ConfigSource source);
     void onWatchFailed(const Error &error);
     void fetchMore();
     void fetch(const ContentEntry &entry);
@@ -157,7 +198,7 @@
 
     /// Applies the \a delta that a peer sent for a pull from \a revision.
     void onPulled(const schema::ConfigDelta &delta, std::uint64_t revision);
-    void apply(const schema::ConfigDelta &delta);
+    void apply(const schema::ConfigDelta &delta, ConfigSource source);
 
     ConfigTask &m_task;
     event_base *m_base;
@@ -169,6 +210,7 @@
     ConfigStore m_store;
     Timer m_watcherCheckTimer;
     Timer m_watchTimer;
+    Timer m_checkTimer;
     Timer m_pullTimer;
     Timer m_initialTimer;
     Timer m_fetchTimer;
@@ -180,6 +222,7 @@
     sigc::connection m_revisionSeenConnection;
     sigc::connection m_joinedConnection;
     bool m_started = false;
+    ConfigCounters m_counters;
 
     bool m_watching = false;
     Duration m_watchRetry = MinWatchRetry;
@@ -187,6 +230,7 @@
     /// Head whose content is being fetched. Applied in one step, so that a change of several
     /// services or customers takes effect together.
     schema::ManifestHead m_head;
+    ConfigSource m_headSource = ConfigSource::Watch;
     std::vector<ContentEntry> m_entriesToFetch;
     std::size_t m_fetchesInFlight = 0;
     schema::ConfigDelta m_fetched;
@@ -205,6 +249,7 @@
     if (!m_started)
         return;
     m_watcherCheckTimer.start(Duration::zero());
+    scheduleHeadCheck();
     pullInitial();
 }
 
@@ -255,22 +300,49 @@
         return;
     }
     m_watching = true;
-    const auto done = [this, alive = std::weak_ptr(m_alive)](const Result<PlatformObject> &object) {
-        if (alive.expired())
-            return;
+    requestHead([this](const Result<PlatformObject> &object) {
         if (!object && object.error().code != ErrorCode::PlatformNotFound)
             return onWatchFailed(object.error());
         // A platform that lost its data restarts its version numbers, so the watch continues from
         // the version read now.
         m_headVersion = object ? object.value().version : NoObject;
         if (object)
-            onObject(object.value());
+            onObject(object.value(), ConfigSource::Watch);
         watchHead();
+    });
+}
+
+/// Calls \a done with the head that the platform holds now, unless this object is gone by then.
+void ConfigTask::Impl::requestHead(std::function<void(const Result<PlatformObject> &)> done)
+{
+    const auto checked = [alive = std::weak_ptr(m_alive),
+                          done = std::move(done)](const Result<PlatformObject> &object) {
+        if (!alive.expired())
+            done(object);
     };
     if (m_external)
-        m_platform.readJson(headObject(), done);
+        m_platform.readJson(headObject(), checked);
     else
-        m_platform.read(headObject(), done);
+        m_platform.read(headObject(), checked);
+}
+
+void ConfigTask::Impl::scheduleHeadCheck()
+{
+    m_checkTimer.start(headCheckDelay(m_membership.table().reachable().size(), m_random));
+}
+
+void ConfigTask::Impl::checkHead()
+{
+    ++m_counters.checks;
+    requestHead([this](const Result<PlatformObject> &object) {
+        scheduleHeadCheck();
+        if (object)
+            return onObject(object.value(), ConfigSource::Check);
+        if (object.error().code == ErrorCode::PlatformNotFound)
+            return;
+        ++m_counters.failedChecks;
+        log::info("config-check-failed", {{"reason", describe(object.error())}});
+    });
 }
 
 void ConfigTask::Impl::watchHead()
@@ -288,7 +360,7 @@
         m_watchRetry = MinWatchRetry;
         if (object) {
             m_headVersion = object.value().version;
-            onObject(object.value());
+            onObject(object.value(), ConfigSource::Watch);
         }
         watchHead();
     };
@@ -300,21 +372,22 @@
 
 void ConfigTask::Impl::onWatchFailed(const Error &error)
 {
+    ++m_counters.failedWatches;
     log::info("config-watch-failed",
               {{"reason", describe(error)}, {"retry-ms", toMs(m_watchRetry)}});
     m_watchTimer.start(m_watchRetry + Duration(m_random() % m_watchRetry.count()));
     m_watchRetry = std::min(2 * m_watchRetry, MaxWatchRetry);
 }
 
-void ConfigTask::Impl::onObject(const PlatformObject &object)
+void ConfigTask::Impl::onObject(const PlatformObject &object, ConfigSource source)
 {
     if (m_external)
-        onExternalObject(object);
+        onExternalObject(object, source);
     else
-        onHead(object);
+        onHead(object, source);
 }
 
-void ConfigTask::Impl::onExternalObject(const PlatformObject &object)
+void ConfigTask::Impl::onExternalObject(const PlatformObject &object, ConfigSource source)
 {
     const auto complete = m_external->decode(object.value);
     if (!complete) {
@@ -324,10 +397,10 @@
     }
     if (complete.value().revision() <= m_store.revision())
         return;
-    apply(m_store.difference(complete.value()));
+    apply(m_store.difference(complete.value()), source);
 }
 
-void ConfigTask::Impl::onHead(const PlatformObject &object)
+void ConfigTask::Impl::onHead(const PlatformObject &object, ConfigSource source)
 {
     schema::ManifestHead head;
     if (!head.ParseFromString(object.value)) {
@@ -348,6 +421,7 @@
     for (auto &entry : m_store.newerCustomerEntries(head))
         m_entriesToFetch.emplace_back(std::move(entry));
     m_head = std::move(head);
+    m_headSource = source;
     m_fetched.Clear();
     m_headPending = true;
     if (m_entriesToFetch.size() > LargeChangeObjects && !isLargeChangeReader())
@@ -418,17 +492,19 @@
 {
     m_headPending = false;
     m_fetched.set_revision(m_head.revision());
-    apply(m_fetched);
+    apply(m_fetched, m_headSource);
     m_fetched.Clear();
 }
 
-void ConfigTask::Impl::apply(const schema::ConfigDelta &delta)
+void ConfigTask::Impl::apply(const schema::ConfigDelta &delta, ConfigSource source)
 {
     const auto changed = m_store.merge(delta);
     m_membership.setConfigRevision(m_store.revision());
     if (changed.empty())
         return;
+    ++m_counters.changes[static_cast<std::size_t>(source)];
     log::info("config-changed", {{"revision", m_store.revision()},
+                                 {"source", enumName(SourceNames, source)},
                                  {"services", changed.services.size()},
                                  {"customer-shards", changed.customerShards.size()}});
     m_task.changed.emit(changed);
@@ -492,13 +568,13 @@
 void ConfigTask::Impl::onPulled(const schema::ConfigDelta &delta, std::uint64_t revision)
 {
     if (!delta.complete()) {
-        apply(delta);
+        apply(delta, ConfigSource::Peer);
         return;
     }
     // Its parts without content refer to the configuration that this node had when it asked. If
     // that has been replaced since, the peer's next packet starts another pull.
     if (m_store.revision() == revision && delta.revision() > revision)
-        apply(m_store.difference(delta));
+        apply(m_store.difference(delta), ConfigSource::Peer);
 }
 
 void ConfigTask::Impl::pull(const Address &address, const std::function<void(bool)> &done)
@@ -547,6 +623,23 @@
             .SerializeAsString();
 }
 
+std::string ConfigTask::Impl::metrics() const
+{
+    std::string text;
+    for (const auto &[source, name] : SourceNames) {
+        text += prometheusSample(
+                "berylspur_config_changes_total", "source=\"" + std::string(name) + "\"",
+                static_cast<double>(m_counters.changes[static_cast<std::size_t>(source)]));
+    }
+    const auto sample = [](const char *name, std::uint64_t value) {
+        return prometheusSample(name, "", static_cast<double>(value));
+    };
+    text += sample("berylspur_config_failed_watches_total", m_counters.failedWatches);
+    text += sample("berylspur_config_checks_total", m_counters.checks);
+    text += sample("berylspur_config_failed_checks_total", m_counters.failedChecks);
+    return text;
+}
+
 ConfigTask::ConfigTask(event_base *base, PlatformClient &platform, PeerPool &peers,
                        MembershipTask &membership, std::optional<ExternalConfiguration> external)
     : m_impl(std::make_unique<Impl>(*this, base, platform, peers, membership, std::move(external)))
@@ -570,6 +663,11 @@
     return m_impl->isReady();
 }
 
+std::string ConfigTask::metrics() const
+{
+    return m_impl->metrics();
+}
+
 std::string ConfigTask::handlePull(const std::string &envelope)
 {
     return m_impl->handlePull(envelope);
--- a/src/membership/membership_bootstrap.cpp
+++ b/src/membership/membership_bootstrap.cpp
@@ -298,8 +298,8 @@
         publishSelf();
 }
 
-/// Only the nodes that call the platform see that it has lost objects; these are the watchers of
-/// each failure domain and not the owners of the objects.
+/// A node sees at its next call that the platform has lost objects. The watchers of each failure
+/// domain see it first, and they are not the owners of the objects.
 void MembershipTask::Impl::queueMissingObjects(const std::vector<PlatformObject> &objects)
 {
     std::set<std::string_view> present;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -633,7 +633,7 @@
         return AdminServer::Page {
                 "text/plain; version=0.0.4",
                 m_gate.metrics() + m_owner.metrics() + m_membership.metrics()
-                        + m_quotaHome.metrics() + m_memory.metrics()
+                        + m_quotaHome.metrics() + m_memory.metrics() + m_config.metrics()
                         + prometheusSample("berylspur_platform_calls_total", "",
                                            static_cast<double>(m_platform.calls()))};
     });
--- a/tests/membership_task_test.cpp
+++ b/tests/membership_task_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace berylspur;
 
@@ -109,6 +110,140 @@
     BOOST_TEST(fleet.allHaveRevision(6));
 }
 
+namespace {
+
+/// Time within which a change is in force at a node that the platform serves while it rejects
+/// others: the shortest sum of the bound of a change and its extension.
+constexpr Duration RejectionBound = std::chrono::seconds(7);
+
+struct RejectionCase
+{
+    const char *guards; ///< failure that the case guards against
+    standin::Treatment treatment;
+    std::size_t rejected; ///< nodes, among them all watchers
+    bool isExternal; ///< the configuration is written by another system
+};
+
+std::ostream &operator<<(std::ostream &out, const RejectionCase &sample)
+{
+    return out << sample.guards;
+}
+
+const RejectionCase RejectionCases[] = {
+        {"a change is missed while the watcher gets 503", standin::Treatment::Unavailable, 1,
+         false},
+        {"a change is missed while the watcher is reset", standin::Treatment::Reset, 1, false},
+        {"a change is missed while the watch hangs", standin::Treatment::Silent, 1, false},
+        {"a change is missed while most nodes get 503", standin::Treatment::Unavailable, 4, false},
+        {"an external change is missed while both watchers get 503",
+         standin::Treatment::Unavailable, 2, true},
+        {"an external change is missed while both watches hang", standin::Treatment::Silent, 2,
+         true},
+        {"an external change is missed while most nodes get no answer", standin::Treatment::Silent,
+         4, true},
+};
+
+constexpr const char *ExternalObject = "config/main";
+
+/// Decodes {"revision": N} into a configuration with one service.
+Result<schema::ConfigDelta> decodeExternal(const std::string &text)
+{
+    const auto revision = nlohmann::json::parse(text).at("revision").get<std::uint64_t>();
+    schema::ConfigDelta delta;
+    delta.set_revision(revision);
+    auto *service = delta.add_services();
+    service->set_service("scan");
+    service->set_revision(revision);
+    service->mutable_content()->set_slots(static_cast<std::uint32_t>(revision));
+    return delta;
+}
+
+/// Six nodes of one failure domain whose platform can reject some of them.
+struct RejectionFleet : TaskFleet
+{
+    explicit RejectionFleet(bool isExternal)
+    {
+        if (isExternal)
+            external = ExternalConfiguration {ExternalObject, decodeExternal};
+        for (int i = 0; i < 6; ++i)
+            add("a", true);
+    }
+
+    void change(std::uint64_t revision)
+    {
+        if (external)
+            platform->putSpecification(ExternalObject, {{"revision", revision}});
+        else
+            apply(revision, {"scan"});
+    }
+
+    /// Nodes with a watch that waits at the platform.
+    std::vector<standin::ClientAddress *> watchers()
+    {
+        std::vector<standin::ClientAddress *> found;
+        for (const auto &address : platformAddresses) {
+            if (platform->pendingCalls(address->client) > 0)
+                found.push_back(&address->client);
+        }
+        return found;
+    }
+
+    /// Rejects \a count nodes; the first ones are the watchers.
+    void reject(std::size_t count, standin::Treatment treatment)
+    {
+        auto rejected = watchers();
+        for (const auto &address : platformAddresses) {
+            if (rejected.size() < count && platform->pendingCalls(address->client) == 0)
+                rejected.push_back(&address->client);
+        }
+        for (auto *client : rejected)
+            platform->treat(*client, treatment);
+    }
+};
+
+} // namespace
+
+// Guards against nodes that the platform serves and that do not learn of a change, because only
+// watchers ask for it and the platform rejects these. Each case names the failure it guards
+// against.
+BOOST_DATA_TEST_CASE(change_is_in_force_in_time_while_the_platform_rejects_the_watchers,
+                     boost::unit_test::data::make(RejectionCases), sample)
+{
+    RejectionFleet fleet(sample.isExternal);
+    const std::size_t watchers = sample.isExternal ? 2 : 1;
+    BOOST_REQUIRE(fleet.allSee(6));
+    fleet.change(1); // ends the watches of nodes that started without a configuration
+    BOOST_REQUIRE(fleet.allHaveRevision(1));
+    BOOST_REQUIRE(fleet.loop.runUntil([&] { return fleet.watchers().size() == watchers; }));
+    fleet.reject(sample.rejected, sample.treatment);
+    fleet.change(2);
+    const auto written = BootClock::now();
+    BOOST_TEST(fleet.allHaveRevision(2));
+    BOOST_TEST(toMs(BootClock::now() - written) < toMs(RejectionBound));
+}
+
+// Guards against checks of the platform whose rate grows with the number of nodes.
+BOOST_DATA_TEST_CASE(rate_of_checks_does_not_grow_with_the_fleet,
+                     boost::unit_test::data::make({2, 16}), nodes)
+{
+    constexpr Duration Period = std::chrono::seconds(6);
+    constexpr int MaxReads = 48; // twice four a second
+    TaskFleet fleet;
+    fleet.apply(1, {"scan"});
+    for (int i = 0; i < nodes; ++i)
+        fleet.add("a", true);
+    BOOST_REQUIRE(fleet.allSee(static_cast<std::size_t>(nodes)));
+    BOOST_REQUIRE(fleet.allHaveRevision(1));
+    int reads = 0;
+    fleet.platform->beforeRead = [&reads](const std::string &name) {
+        reads += name == "manifest/head" ? 1 : 0;
+    };
+    const auto until = BootClock::now() + Period;
+    fleet.loop.runUntil([&] { return BootClock::now() >= until; });
+    BOOST_TEST(reads > 0);
+    BOOST_TEST(reads <= MaxReads);
+}
+
 // Guards against a large change whose services are read once per failure domain instead of once.
 BOOST_AUTO_TEST_CASE(one_node_reads_a_large_change)
 {
--- a/tests/standin/platform_server.h
+++ b/tests/standin/platform_server.h
@@ -79,20 +79,23 @@
 /// they get status 410.
 enum class WaitingWatches { Closed, Gone };
 
+class PlatformServer;
+
+/// How the store treats a client: Unavailable answers 503, Reset closes the connection, Silent
+/// reads the call and never responds. All but Served have no effect on the objects.
+enum class Treatment { Served, Unavailable, Reset, Silent };
+
+/// An address of its own for one client, at which the store can reject this client alone.
+struct ClientAddress
+{
+    PlatformServer *platform = nullptr;
+    Treatment treatment = Treatment::Served;
+};
+
 class PlatformServer
 {
 public:
-    PlatformServer(event_base *base, evhttp *http) : m_base(base)
-    {
-        evhttp_set_allowed_methods(http, EVHTTP_REQ_GET | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE
-                                                 | EVHTTP_REQ_POST);
-        evhttp_set_gencb(
-                http,
-                [](evhttp_request *request, void *self) {
-                    static_cast<PlatformServer *>(self)->handle(request);
-                },
-                this);
-    }
+    PlatformServer(event_base *base, evhttp *http) : m_base(base) { listen(http, m_everyClient); }
     ~PlatformServer()
     {
         while (!m_pending.empty()) {
@@ -146,7 +149,33 @@
         for (auto *watch : watches)
             endWatch(watch, waiting);
     }
+    /// Serves \a client at the addresses of \a http. Both must outlive the calls to them.
+    void listen(evhttp *http, ClientAddress &client)
+    {
+        client.platform = this;
+        evhttp_set_allowed_methods(http, EVHTTP_REQ_GET | EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE
+                                                 | EVHTTP_REQ_POST);
+        evhttp_set_gencb(
+                http,
+                [](evhttp_request *request, void *context) {
+                    auto &caller = *static_cast<ClientAddress *>(context);
+                    caller.platform->handle(request, caller);
+                },
+                &client);
+    }
+    /// Changes how \a client is treated. Its waiting calls end, or stay without response if Silent.
+    void treat(ClientAddress &client, Treatment treatment)
+    {
+        client.treatment = treatment;
+        if (treatment == Treatment::Served || treatment == Treatment::Silent)
+            return;
+        for (auto *pending : pendingOf(client)) {
+            const std::unique_ptr<PendingRequest> owner(pending);
+            reject(removePending(pending), client);
+        }
+    }
     std::size_t pendingCalls() const { return m_pending.size(); }
+    std::size_t pendingCalls(const ClientAddress &client) const { return pendingOf(client).size(); }
     /// Number of calls so far, including refused ones. A watch counts once.
     std::uint64_t calls() const
     {
@@ -166,6 +195,7 @@
     {
         PlatformServer *platform = nullptr;
         evhttp_request *request = nullptr;
+        const ClientAddress *client = nullptr;
         event *timer = nullptr;
         std::string watchedKind; ///< empty unless this is a watch
         std::uint64_t after = 0;
@@ -189,6 +219,26 @@
             evhttp_connection_free(evhttp_request_get_connection(request));
     }
 
+    std::vector<PendingRequest *> pendingOf(const ClientAddress &client) const
+    {
+        std::vector<PendingRequest *> found;
+        std::copy_if(m_pending.begin(), m_pending.end(), std::back_inserter(found),
+                     [&](const PendingRequest *pending) { return pending->client == &client; });
+        return found;
+    }
+
+    /// Treats \a request as \a client is treated now, which is not Served.
+    void reject(evhttp_request *request, const ClientAddress &client)
+    {
+        ++m_accounting.refused;
+        if (client.treatment == Treatment::Unavailable)
+            send(request, {HTTP_SERVUNAVAIL, {}});
+        else if (client.treatment == Treatment::Reset)
+            evhttp_connection_free(evhttp_request_get_connection(request));
+        else
+            holdRequest(request, {}, nullptr);
+    }
+
     void completePending(const Reply &reply)
     {
         while (!m_pending.empty()) {
@@ -197,14 +247,17 @@
         }
     }
 
-    void handle(evhttp_request *request)
+    void handle(evhttp_request *request, const ClientAddress &client)
     {
+        m_client = &client;
         const auto *uri = evhttp_request_get_evhttp_uri(request);
         const std::string path = evhttp_uri_get_path(uri) ? evhttp_uri_get_path(uri) : "";
         if (path == "/faults")
             return send(request, setFaults(requestBody(request)));
         if (path == "/accounting")
             return send(request, {HTTP_OK, formatAccounting()});
+        if (client.treatment != Treatment::Served)
+            return reject(request, client);
         if (m_faults.silent) {
             ++m_accounting.refused;
             holdRequest(request, {}, nullptr);
@@ -422,7 +475,7 @@
     {
         std::vector<std::pair<PendingRequest *, Reply>> ready;
         for (auto *pending : m_pending) {
-            if (pending->watchedKind.empty())
+            if (pending->watchedKind.empty() || pending->client->treatment == Treatment::Silent)
                 continue;
             if (auto reply = eventsReply(pending->watchedKind, pending->after))
                 ready.emplace_back(pending, std::move(*reply));
@@ -465,7 +518,8 @@
 
     PendingRequest *holdRequest(evhttp_request *request, Reply reply, const timeval *time)
     {
-        auto *pending = new PendingRequest {this, request, nullptr, {}, 0, std::move(reply)};
+        auto *pending =
+                new PendingRequest {this, request, m_client, nullptr, {}, 0, std::move(reply)};
         pending->timer = event_new(m_base, -1, 0, onPendingTimeout, pending);
         if (time)
             event_add(pending->timer, time);
@@ -591,6 +645,8 @@
     }
 
     event_base *m_base;
+    ClientAddress m_everyClient; ///< clients without an address of their own
+    const ClientAddress *m_client = nullptr; ///< of the call that is being handled
     ObjectStore m_store;
     Faults m_faults;
     Accounting m_accounting;
--- a/tests/task_fleet.h
+++ b/tests/task_fleet.h
@@ -16,11 +16,12 @@
 /// A node reduced to its membership and configuration tasks.
 struct TaskNode
 {
-    TaskNode(event_base *base, const schema::NodeSettings &settings, Incarnation incarnation)
+    TaskNode(event_base *base, const schema::NodeSettings &settings, Incarnation incarnation,
+             const std::optional<ExternalConfiguration> &external)
         : platform(base, Address::parse(settings.platform()).value()),
           identity {settings.fleet(), settings.node().name(), incarnation}, peers(base, identity),
           membership(base, settings, incarnation, platform, peers),
-          config(base, platform, peers, membership)
+          config(base, platform, peers, membership, external)
     {
         server = std::move(
                 PeerServer::listen(
@@ -45,13 +46,30 @@
     bool isStarted = false;
 };
 
+/// The address of the platform for one node.
+struct PlatformAddress
+{
+    explicit PlatformAddress(event_base *base) : http(evhttp_new(base), &evhttp_free)
+    {
+        evhttp_bind_socket(http.get(), address.ip.c_str(), address.port);
+    }
+
+    Address address = freeAddress();
+    standin::ClientAddress client;
+    std::unique_ptr<evhttp, decltype(&evhttp_free)> http;
+};
+
 struct TaskFleet
 {
     Loop loop;
     Address platformAddress = freeAddress();
     std::unique_ptr<evhttp, decltype(&evhttp_free)> platformHttp {evhttp_new(loop.base),
                                                                   &evhttp_free};
+    /// Of each node, so that the platform can reject single ones.
+    std::vector<std::unique_ptr<PlatformAddress>> platformAddresses;
     std::unique_ptr<standin::PlatformServer> platform {startPlatform()};
+    /// Set before add(): the nodes take their configuration from this object.
+    std::optional<ExternalConfiguration> external;
     std::vector<std::string> addresses;
     std::vector<std::unique_ptr<TaskNode>> nodes;
 
@@ -65,7 +83,9 @@
     {
         schema::NodeSettings settings;
         settings.set_fleet("test");
-        settings.set_platform(platformAddress.toString());
+        platformAddresses.push_back(std::make_unique<PlatformAddress>(loop.base));
+        platform->listen(platformAddresses.back()->http.get(), platformAddresses.back()->client);
+        settings.set_platform(platformAddresses.back()->address.toString());
         settings.mutable_node()->set_name("node-" + std::to_string(nodes.size()));
         settings.mutable_node()->set_region("region");
         settings.mutable_node()->set_failure_domain(domain);
@@ -75,7 +95,8 @@
         }
         addresses.push_back(freeAddress().toString());
         settings.mutable_addresses()->set_peer(addresses.back());
-        nodes.push_back(std::make_unique<TaskNode>(loop.base, settings, nodes.size() + 1));
+        nodes.push_back(
+                std::make_unique<TaskNode>(loop.base, settings, nodes.size() + 1, external));
     }
 
     bool allSee(std::size_t members)
