Escape bytes that callers chose in logs and JSON, and throw for none of them

Cause: nlohmann::json::dump() throws for text that is not UTF-8, and nothing catches it in Node::Impl::pollStop() and jsonPage(). Request ids are in the dump as callers sent them.

printableText() escapes each byte that is not printable ASCII; request ids in decisions and dumps and all values of log lines pass through it. jsonText() takes the place of dump() in the product and does not throw.

--- a/include/berylspur/core/log.h
+++ b/include/berylspur/core/log.h
@@ -15,7 +15,8 @@
 
 enum class Level { Trace, Debug, Info, Warn, Error };
 
-/// A key and its value. Text values with spaces, quotes, '=' or line breaks are quoted.
+/// A key and its value. Text values with spaces, quotes, '=' or bytes that are not printable ASCII
+/// are quoted, and these bytes escaped as by printableText().
 struct Field
 {
     std::string_view key;
--- a/src/core/log.cpp
+++ b/src/core/log.cpp
@@ -2,8 +2,10 @@
 #include "berylspur/core/log.h"
 
 #include "berylspur/core/enum_table.h"
+#include "berylspur/core/text_escape.h"
 #include "berylspur/core/timer.h"
 
+#include <algorithm>
 #include <log4cxx/appenderskeleton.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/helpers/transcoder.h>
@@ -119,15 +121,18 @@
 
     void operator()(std::string_view text) const
     {
-        if (text.find_first_of(" \"=\n") == std::string_view::npos && !text.empty()) {
+        if (!text.empty() && isPrintable(text)
+            && text.find_first_of(" \"=") == std::string_view::npos) {
             line.append(text);
             return;
         }
+        std::string oneLine(text);
+        std::replace(oneLine.begin(), oneLine.end(), '\n', ' ');
         line.push_back('"');
-        for (const char c : text) {
+        for (const char c : printableText(oneLine)) {
             if (c == '"' || c == '\\')
                 line.push_back('\\');
-            line.push_back(c == '\n' ? ' ' : c);
+            line.push_back(c);
         }
         line.push_back('"');
     }
--- a/src/ctl/report.cpp
+++ b/src/ctl/report.cpp
@@ -1,6 +1,8 @@
 // Formats command results as text and JSON.
 #include "berylspur/ctl/report.h"
 
+#include "berylspur/core/text_escape.h"
+
 #include <algorithm>
 #include <google/protobuf/util/json_util.h>
 #include <nlohmann/json.hpp>
@@ -123,7 +125,7 @@
 
 Report reportError(const Error &error)
 {
-    return {error.code, describe(error) + "\n", errorJson(error).dump(2) + "\n"};
+    return {error.code, describe(error) + "\n", jsonText(errorJson(error), 2) + "\n"};
 }
 
 Report reportFindings(const std::vector<ManifestFinding> &findings, const std::string &file,
@@ -149,7 +151,7 @@
                            {"cuts-off", difference.cutsOff}});
     }
     report.json =
-            Json {{"ok", findings.empty()}, {"findings", list}, {"differences", changes}}.dump(2)
+            jsonText({{"ok", findings.empty()}, {"findings", list}, {"differences", changes}}, 2)
             + "\n";
     report.exitStatus = findings.empty() ? ExitStatus::Ok : ExitStatus::OtherError;
     return report;
@@ -167,7 +169,7 @@
     std::ostringstream text;
     text << "valid: fleet " << manifest.fleet() << ", " << manifest.services_size() << " services, "
          << routes << " routes\n";
-    return {ErrorCode::Ok, text.str(), json.dump(2) + "\n"};
+    return {ErrorCode::Ok, text.str(), jsonText(json, 2) + "\n"};
 }
 
 Report reportWrite(const WriteOutcome &outcome, const std::string &applyId,
@@ -191,7 +193,7 @@
     std::string text = formatWriteOutcome(outcome);
     appendLine(text, "no longer drained: ", outcome.undrained);
     appendLine(text, "did not answer: ", unreachable);
-    return {outcome.error.code, text, json.dump(2) + "\n"};
+    return {outcome.error.code, text, jsonText(json, 2) + "\n"};
 }
 
 Report reportNodes(const std::vector<NodeState> &nodes, const schema::ManifestHead &head)
@@ -242,7 +244,7 @@
                        {"author", head.author()},
                        {"nodes", list}};
     report.text = text.str();
-    report.json = json.dump(2) + "\n";
+    report.json = jsonText(json, 2) + "\n";
     return report;
 }
 
@@ -271,7 +273,7 @@
                        {"lines", list},
                        {"lines-read", trace.linesRead()},
                        {"stepped-clocks", trace.nodesWithSteppedClock()}};
-    report.json = json.dump(2) + "\n";
+    report.json = jsonText(json, 2) + "\n";
     return report;
 }
 
@@ -305,7 +307,7 @@
                        {"objects-read", explanation.objectsRead},
                        {"objects-failed", explanation.objectsFailed},
                        {"dropped", explanation.dropped}};
-    report.json = json.dump(2) + "\n";
+    report.json = jsonText(json, 2) + "\n";
     return report;
 }
 
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -1,6 +1,7 @@
 // One caller request at the gate, from its arrival to the end of its response.
 #pragma once
 
+#include "berylspur/core/text_escape.h"
 #include "berylspur/core/timer.h"
 #include "berylspur/peer.pb.h"
 #include "gate_context.h"
@@ -38,7 +39,10 @@
 
     const RequestId &id() const { return m_id; }
     /// Request id for logs: the caller's id, or the generated one if the caller gave none.
-    std::string logId() const { return m_callerId.empty() ? m_id.toHex() : m_callerId; }
+    std::string logId() const
+    {
+        return m_callerId.empty() ? m_id.toHex() : printableText(m_callerId);
+    }
     const std::string &service() const { return m_service; }
     const std::string &endpoint() const { return m_endpoint; }
     Duration age() const { return BootClock::now() - m_arrived; }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -7,6 +7,7 @@
 #include "berylspur/core/enum_table.h"
 #include "berylspur/core/log.h"
 #include "berylspur/core/metrics.h"
+#include "berylspur/core/text_escape.h"
 #include "berylspur/core/timer.h"
 #include "berylspur/customers/customer_table.h"
 #include "berylspur/gate/gate_task.h"
@@ -64,7 +65,7 @@
 
 AdminServer::Page jsonPage(const nlohmann::json &value)
 {
-    return {"application/json", value.dump(2) + "\n"};
+    return {"application/json", jsonText(value, 2) + "\n"};
 }
 
 } // namespace
@@ -495,7 +496,7 @@
 
 void Node::Impl::stopAtOnce()
 {
-    log::warn("stopped-at-once", {{"open", openRequests().dump()}});
+    log::warn("stopped-at-once", {{"open", jsonText(openRequests())}});
     event_base_loopbreak(m_base);
 }
 
@@ -509,7 +510,7 @@
         return;
     }
     if (work.openRequests > 0) {
-        log::warn("stop-limit-reached", {{"open", openRequests().dump()}});
+        log::warn("stop-limit-reached", {{"open", jsonText(openRequests())}});
         m_owner.refuseQueuedRequests();
         m_gate.finishOpenRequests();
     }
--- a/src/owner/announce_server.cpp
+++ b/src/owner/announce_server.cpp
@@ -4,6 +4,7 @@
 #include "berylspur/core/enum_table.h"
 #include "berylspur/core/json_number.h"
 #include "berylspur/core/log.h"
+#include "berylspur/core/text_escape.h"
 #include "berylspur/http/request_refusal.h"
 
 #include <nlohmann/json.hpp>
@@ -83,8 +84,7 @@
     if (!announcement)
         return refuse(request, announcement.error());
     m_handler(announcement.value());
-    request.respond(StatusOk, {{"Content-Type", "application/json"}},
-                    nlohmann::json {{"node", m_node}}.dump());
+    request.respond(StatusOk, {{"Content-Type", "application/json"}}, jsonText({{"node", m_node}}));
 }
 
 } // namespace berylspur
--- a/src/owner/owner_task.cpp
+++ b/src/owner/owner_task.cpp
@@ -2,6 +2,7 @@
 #include "berylspur/owner/owner_task.h"
 
 #include "berylspur/core/log.h"
+#include "berylspur/core/text_escape.h"
 #include "berylspur/limits/rate_limiter.h"
 #include "owner_task_impl.h"
 
@@ -397,7 +398,7 @@
     record.set_rule(rule);
     const auto id = RequestId::fromBytes(dispatch.request_id());
     if (!dispatch.caller_request_id().empty())
-        record.set_request_id(dispatch.caller_request_id());
+        record.set_request_id(printableText(dispatch.caller_request_id()));
     else if (id)
         record.set_request_id(id->toHex());
     return record;
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -211,6 +211,14 @@
     BOOST_TEST(!platform::parseHeartbeat("i-1", text).has_value());
 }
 
+// Guards against an endpoint id that peers could not read in gossip, that a request could not name
+// in a header, and that ended the process when it was shown.
+BOOST_DATA_TEST_CASE(unreadable_endpoint_id_is_rejected, data::make({"i-\xe9", "i\n1", "\xc3"}), id)
+{
+    BOOST_TEST(!platform::parseHeartbeat(id, heartbeat().dump()).has_value());
+    BOOST_TEST(!platform::parseWithdrawal(id, "").has_value());
+}
+
 // Guards against a deregistration that removes a newer incarnation of the endpoint.
 BOOST_AUTO_TEST_CASE(withdrawal_is_decoded)
 {
