Send the messages of libraries to the log in place of standard error

Their handlers now write rate-limited lines (library-message) to the log, which never blocks; the internal messages of log4cxx are off.

--- a/tools/berylspur_node.cpp
+++ b/tools/berylspur_node.cpp
@@ -1,4 +1,5 @@
 // berylspur-node: the proxy process that runs on each backend server host.
+#include "berylspur/core/library_messages.h"
 #include "berylspur/core/log.h"
 #include "berylspur/node/node.h"
 #include "berylspur/settings/node_settings.h"
@@ -36,6 +37,7 @@
     std::signal(SIGPIPE, SIG_IGN);
     log::configure(settings.value().node().name(),
                    log::levelFromName(settings.value().log().level()));
+    log::captureLibraryMessages();
     for (const auto &warning : warnings)
         log::warn("setting-unusable", {{"detail", warning}});
     Node node(settings.value(), file);
