Hand a request to the endpoint's socket only once its connect has succeeded

Cause: the request lay in the output of the connecting socket, and the connection was destroyed by a timer in the next turn of the event loop. libevent handles sockets before timers, so a connect that had succeeded meanwhile wrote the request first.

EndpointConnection keeps the request outside of the socket until the connect has succeeded and drops it with the report or a cancel.

--- a/src/owner/endpoint_connection.cpp
+++ b/src/owner/endpoint_connection.cpp
@@ -77,6 +77,7 @@
 EndpointConnection::EndpointConnection(EndpointClient &client, event_base *base,
                                        const Address &address)
     : m_client(client), m_events(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE)),
+      m_unsent(evbuffer_new(), &evbuffer_free),
       m_connectTimer(base, [this] { finish(CallResult::ConnectFailed, false); }),
       m_keepAlive(DefaultKeepAlive)
 {
@@ -115,17 +116,30 @@
     const bool isShared = request.body.size() >= MinSharedBodyBytes;
     if (!isShared)
         text.append(request.body.bytes());
-    bufferevent_write(m_events, text.data(), text.size());
+    evbuffer_add(m_unsent.get(), text.data(), text.size());
     if (isShared)
-        writeShared(bufferevent_get_output(m_events), request.body);
+        writeShared(m_unsent.get(), request.body);
+    if (m_isConnected)
+        sendRequest();
+}
+
+void EndpointConnection::sendRequest()
+{
+    bufferevent_write_buffer(m_events, m_unsent.get());
 }
 
 void EndpointConnection::cancel()
 {
     m_call = nullptr;
+    dropUnsentRequest();
     m_client.discard(this);
 }
 
+void EndpointConnection::dropUnsentRequest()
+{
+    evbuffer_drain(m_unsent.get(), evbuffer_get_length(m_unsent.get()));
+}
+
 void EndpointConnection::setReading(bool enabled)
 {
     if (enabled)
@@ -229,6 +243,7 @@
         m_connectTimer.stop();
         const int on = 1;
         setsockopt(bufferevent_getfd(m_events), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        sendRequest();
         return;
     }
     if (!m_call) {
@@ -247,6 +262,7 @@
 void EndpointConnection::finish(CallResult end, bool reusable)
 {
     m_connectTimer.stop();
+    dropUnsentRequest();
     auto *call = std::exchange(m_call, nullptr);
     if (reusable) {
         m_idleSince = BootClock::now();
--- a/src/owner/endpoint_connection.h
+++ b/src/owner/endpoint_connection.h
@@ -4,13 +4,17 @@
 #include "endpoint_client.h"
 #include "response_reader.h"
 
+#include <event2/buffer.h>
 #include <event2/bufferevent.h>
+#include <memory>
 #include <optional>
 
 namespace berylspur {
 
-/// Carries at most one call at a time. Not reused after it received anything other than the
-/// expected responses.
+/// Carries at most one call at a time. Invariant: no byte of a request is handed to the socket
+/// before the connect has succeeded, so a call that ended with ConnectFailed has not run and never
+/// will, even if the connect succeeds afterwards. Not reused after it received anything other than
+/// the expected responses.
 class EndpointConnection
 {
 public:
@@ -34,6 +38,9 @@
     static void onRead(bufferevent *, void *self);
     static void onEvent(bufferevent *, short events, void *self);
 
+    /// Hands the request to the socket.
+    void sendRequest();
+    void dropUnsentRequest();
     void read();
     // Each may end the call.
     void handle(const InputNeeded &) { }
@@ -47,6 +54,8 @@
 
     EndpointClient &m_client;
     bufferevent *m_events;
+    /// The request until the connect has succeeded.
+    std::unique_ptr<evbuffer, decltype(&evbuffer_free)> m_unsent;
     Timer m_connectTimer;
     EndpointCall *m_call = nullptr;
     std::optional<ResponseReader> m_reader; // set once a call began
