--- a/include/berylspur/membership/member_table.h
+++ b/include/berylspur/membership/member_table.h
@@ -92,6 +92,9 @@
     std::vector<EndpointView> endpoints(const std::string &service) const;
     /// Endpoints that \a node publishes, and those that its earlier processes published.
     std::vector<schema::EndpointRecord> earlierEndpoints(const std::string &node) const;
+    /// Time since the record in which \a node last published its endpoints arrived here; zero if
+    /// the node is not known.
+    Duration endpointsAge(const std::string &node, TimePoint now) const;
     /// Ids of the endpoints of all members of the table.
     std::unordered_set<std::string> endpointIds() const;
     /// Changes whenever an endpoint or a status changes. Gates use it to invalidate their caches.
@@ -125,6 +128,7 @@
         TimePoint lastContact; ///< direct, from a newer record or reported by a peer
         TimePoint lastDirectContact;
         TimePoint statusSince;
+        TimePoint endpointsSince; ///< arrival of the record with the present endpoints
         /// By endpoint: those whose trial begins without another update.
         std::map<std::string, TrackedSuspicion> suspicions;
         /// Endpoints with a start time that earlier incarnations of the node published, by id.
--- a/include/berylspur/routing/rotation.h
+++ b/include/berylspur/routing/rotation.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "berylspur/core/clock.h"
+#include "berylspur/core/enum_table.h"
 
 #include <cstdint>
 #include <string>
@@ -53,6 +54,15 @@
     OwnerGone,
 };
 
+inline constexpr EnumTable<RotationVerdict, 6> RotationVerdictNames {{
+        {RotationVerdict::InRotation, "in"},
+        {RotationVerdict::Ejected, "ejected"},
+        {RotationVerdict::HeldByFloor, "held-by-floor"},
+        {RotationVerdict::OpenedByFloor, "opened-by-floor"},
+        {RotationVerdict::NotReady, "not-ready"},
+        {RotationVerdict::OwnerGone, "owner-gone"},
+}};
+
 struct RotationEntry
 {
     std::size_t endpoint = 0; ///< index into the view
@@ -64,6 +74,15 @@
     bool isHealthy() const;
 };
 
+/// Endpoints of a service by what its rotation decided, for logs.
+struct RotationCounts
+{
+    std::uint32_t ready = 0; ///< all others of this struct are among them
+    std::uint32_t ejected = 0;
+    std::uint32_t held = 0; ///< HeldByFloor
+    std::uint32_t opened = 0; ///< OpenedByFloor
+};
+
 struct Rotation
 {
     std::vector<RotationEntry> entries; ///< one per endpoint of the view, in its order
@@ -76,6 +95,7 @@
 
     /// True if at least one endpoint isHealthy().
     bool hasHealthyEndpoint() const;
+    RotationCounts counts() const;
 };
 
 /// Ejects suspect endpoints and limits those in trial to one slot: first the endpoints that fail
--- a/src/gate/gate_request.h
+++ b/src/gate/gate_request.h
@@ -94,6 +94,8 @@
     bool chooseEndpoint();
     /// Makes \a endpoint that of the next dispatch. Returns false if its owner is not known.
     bool useEndpoint(const EndpointView &endpoint);
+    /// Adds what this gate believes of the service and of the endpoint that was tried last.
+    void addPlacementFigures(schema::DecisionRecord &record);
     void claimKey();
     void onClaimReply(const schema::ClaimReply &reply);
     void onClaimFailure();
@@ -241,6 +243,9 @@
     bool m_dispatching = false; // m_exchange is a dispatch without a reply so far
     bool m_countedByPicker = false; // the picker counts this request as in flight
     Duration m_expectedWait {}; // in the queue of the endpoint, when it was picked
+    Duration m_viewAge {}; // of what was known of the endpoint, when it was picked
+    RotationVerdict m_verdict = RotationVerdict::InRotation; // on the endpoint, when it was picked
+    bool m_wasOnTrial = false; // in the view of this gate, when it was picked
     int m_attempt = 0; // number of the one in m_exchange
     int m_startedAttempts = 0;
     TimePoint m_sentAt; // the attempt in m_exchange
--- a/src/gate/gate_request_dispatch.cpp
+++ b/src/gate/gate_request_dispatch.cpp
@@ -50,6 +50,7 @@
                                      m_context.pathHealth, BootClock::now(), m_context.random);
     if (!picked)
         return false;
+    m_verdict = view.rotation.entries[*picked].verdict;
     return useEndpoint(view.endpoints[*picked]);
 }
 
@@ -65,7 +66,10 @@
     m_node = endpoint.node;
     m_address = address.value();
     m_incarnation = member->incarnation();
-    m_expectedWait = m_context.picker.expectedWait(endpoint, BootClock::now());
+    const auto now = BootClock::now();
+    m_expectedWait = m_context.picker.expectedWait(endpoint, now);
+    m_viewAge = m_context.members.endpointsAge(endpoint.node, now);
+    m_wasOnTrial = endpoint.onTrial;
     return true;
 }
 
--- a/src/gate/gate_request_finish.cpp
+++ b/src/gate/gate_request_finish.cpp
@@ -162,9 +162,30 @@
         addFigure(record, "status", m_status);
     if (code == ErrorCode::RequestUnauthorized)
         addFigure(record, "key", hasKey() ? 1 : 0); // 0: missing, 1: unknown
+    const bool isPlacement = kind == schema::DECISION_RETRY || kind == schema::DECISION_REFUSE;
+    if (isPlacement && m_placements > 0)
+        addPlacementFigures(record);
     m_context.onDecision(std::move(record));
 }
 
+void GateRequest::addPlacementFigures(schema::DecisionRecord &record)
+{
+    addFigure(record, "idempotent", m_idempotent ? 1 : 0);
+    addFigure(record, "view-age-ms", static_cast<double>(toMs(m_viewAge)));
+    addFigure(record, "on-trial", m_wasOnTrial ? 1 : 0);
+    addFigure(record, "held", m_verdict == RotationVerdict::HeldByFloor ? 1 : 0);
+    addFigure(record, "opened", m_verdict == RotationVerdict::OpenedByFloor ? 1 : 0);
+    const auto *config = m_context.routes.service(m_service);
+    if (!config)
+        return;
+    const auto &view = m_context.serviceViews.current(*config, BootClock::now());
+    const RotationCounts counts = view.rotation.counts();
+    addFigure(record, "endpoints-ready", counts.ready);
+    addFigure(record, "endpoints-ejected", counts.ejected);
+    addFigure(record, "endpoints-held", counts.held);
+    addFigure(record, "endpoints-opened", counts.opened);
+}
+
 void GateRequest::onCallerDisconnect()
 {
     if (m_isComplete)
--- a/src/gate/gate_task.cpp
+++ b/src/gate/gate_task.cpp
@@ -2,7 +2,6 @@
 #include "berylspur/gate/gate_task.h"
 
 #include "berylspur/core/duration_text.h"
-#include "berylspur/core/enum_table.h"
 #include "berylspur/http/caller_server.h"
 #include "gate_request.h"
 
@@ -19,15 +18,6 @@
 constexpr Duration PeerIdleTimeout = std::chrono::seconds(60);
 constexpr Duration ForgetInterval = std::chrono::seconds(60);
 
-constexpr EnumTable<RotationVerdict, 6> VerdictNames {{
-        {RotationVerdict::InRotation, "in"},
-        {RotationVerdict::Ejected, "ejected"},
-        {RotationVerdict::HeldByFloor, "held-by-floor"},
-        {RotationVerdict::OpenedByFloor, "opened-by-floor"},
-        {RotationVerdict::NotReady, "not-ready"},
-        {RotationVerdict::OwnerGone, "owner-gone"},
-}};
-
 /// False at the first start of the whole fleet, the only one at which the platform states that no
 /// endpoint has been running before its node.
 bool mayBeRestart(const schema::NodeSettings &settings)
@@ -290,7 +280,7 @@
                                  {"node", endpoint.node},
                                  {"severity", endpoint.severity},
                                  {"rule", endpoint.rule},
-                                 {"verdict", enumName(VerdictNames, entry.verdict)}});
+                                 {"verdict", enumName(RotationVerdictNames, entry.verdict)}});
         }
         services[name] = {{"slots-in-rotation", view.rotation.slotsInRotation},
                           {"endpoints", endpoints}};
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -91,6 +91,9 @@
     if (member.record.incarnation() != record.incarnation()) {
         member.suspicions.clear();
         keepEarlierEndpoints(member);
+        member.endpointsSince = now;
+    } else if (member.record.endpoints_sequence() != record.endpoints_sequence()) {
+        member.endpointsSince = now;
     }
     member.record = record;
     trackSuspicions(member);
@@ -422,6 +425,14 @@
     return endpoints;
 }
 
+Duration MemberTable::endpointsAge(const std::string &node, TimePoint now) const
+{
+    const auto found = m_members.find(node);
+    if (found == m_members.end() || found->second.endpointsSince == TimePoint())
+        return {};
+    return now - found->second.endpointsSince;
+}
+
 std::unordered_set<std::string> MemberTable::endpointIds() const
 {
     std::unordered_set<std::string> ids;
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -17,10 +17,9 @@
 #include "berylspur/record/decision_log.h"
 #include "berylspur/record/decision_logging.h"
 #include "berylspur/record/record_task.h"
-#include "berylspur/routing/capacity_floor.h"
-#include "berylspur/routing/rotation.h"
 #include "berylspur/settings/node_settings.h"
 #include "berylspur/transport/peer_pool.h"
+#include "floor_task.h"
 #include "home_task.h"
 #include "memory_task.h"
 #include "platform/configuration.h"
@@ -87,7 +86,6 @@
     void handlePeerRequest(const std::shared_ptr<PeerRequest> &request);
     void configurationChanged(const ConfigChange &changed);
     void customersChanged(const std::vector<CustomerShardPtr> &shards);
-    void updateHeldByFloor();
     /// Logs and stores a decision. \a isFinal: the request ends without the endpoint's response.
     void recordDecision(schema::DecisionRecord record, bool isFinal = false);
     bool isIntegrated() const
@@ -127,6 +125,7 @@
     ConfigTask m_config;
     CustomerTable m_customers; // read by gate and quota home
     OwnerTask m_owner;
+    FloorTask m_floor;
     GateTask m_gate;
     HomeTask m_home;
     QuotaHomeTask m_quotaHome;
@@ -154,6 +153,7 @@
       m_membership(m_base, m_settings, m_incarnation, m_platform, m_peers),
       m_config(m_base, m_platform, m_peers, m_membership, externalConfiguration()),
       m_owner(m_base, m_settings, m_incarnation, m_names, &m_memory.budget()),
+      m_floor(m_membership.table(), m_config.store(), m_owner),
       m_gate(m_base, m_settings, m_membership, m_peers, m_customers, m_names, &m_memory.budget()),
       m_home(m_base, m_membership, m_peers,
              std::chrono::seconds(m_settings.limits().key_retention_s()), !isIntegrated()),
@@ -199,7 +199,7 @@
     m_config.changed.connect(
             [this](const ConfigChange &changed) { configurationChanged(changed); });
     m_membership.viewChanged.connect([this] {
-        updateHeldByFloor();
+        m_floor.update();
         m_home.viewChanged();
         m_records.setNodes(m_membership.table().reachable().size());
     });
@@ -368,28 +368,6 @@
     }
 }
 
-void Node::Impl::updateHeldByFloor()
-{
-    const auto &table = m_membership.table();
-    for (const auto &own : table.self().endpoints()) {
-        bool held = false;
-        const auto *config = m_config.store().find(own.service());
-        const bool isLimited = own.suspicion().severity() > 0 || own.suspicion().on_trial();
-        if (isLimited && config) {
-            auto view = table.endpoints(own.service());
-            startDueTrials(view, BootClock::now());
-            const auto result = rotation(view, rotationConfig(config->content(), view));
-            held = std::any_of(result.entries.begin(), result.entries.end(),
-                               [&](const auto &entry) {
-                                   return view[entry.endpoint].id == own.id()
-                                          && (entry.verdict == RotationVerdict::HeldByFloor
-                                              || entry.verdict == RotationVerdict::OpenedByFloor);
-                               });
-        }
-        m_owner.setHeldByFloor(own.id(), held);
-    }
-}
-
 void Node::Impl::recordDecision(schema::DecisionRecord record, bool isFinal)
 {
     if (record.config_revision() == 0) {
--- a/src/routing/rotation.cpp
+++ b/src/routing/rotation.cpp
@@ -113,6 +113,18 @@
                        [](const RotationEntry &entry) { return entry.isHealthy(); });
 }
 
+RotationCounts Rotation::counts() const
+{
+    RotationCounts result;
+    for (const RotationEntry &entry : entries) {
+        result.ready += entry.isInRotation() || entry.verdict == RotationVerdict::Ejected ? 1 : 0;
+        result.ejected += entry.verdict == RotationVerdict::Ejected ? 1 : 0;
+        result.held += entry.verdict == RotationVerdict::HeldByFloor ? 1 : 0;
+        result.opened += entry.verdict == RotationVerdict::OpenedByFloor ? 1 : 0;
+    }
+    return result;
+}
+
 Rotation rotation(const std::vector<EndpointView> &view, const RotationConfig &config)
 {
     Rotation result;
