Publish a planned stop in the header of the member record

Cause: a node that stops published its endpoints as draining. Endpoints are part of the full record only; most copies of an update leave them out, so a gate had to request them, and both the update and the request waited for push budget that changes of phase spend. A gate that was refused learned nothing and sent the next request there again.

The stop is now a flag of the member record. It is sent with every copy, learned from any record of the process, however old, and stays for the incarnation. A gate that is refused for a stop marks the node and sends that on.

Mixed versions: older nodes ignore the flag. They learn of the stop from a refusal only, and from the record that says the node has left.

--- a/include/berylspur/gate/gate_task.h
+++ b/include/berylspur/gate/gate_task.h
@@ -64,6 +64,8 @@
     sigc::signal<void(const NestedCallEnded &)> nestedCallEnded;
     /// Emitted to ask for the run of which the request with this id is a nested call.
     sigc::signal<ParentRun(const std::string &)> parentRun;
+    /// Emitted when the process \a incarnation of \a node refused a request because it stops.
+    sigc::signal<void(const std::string &node, Incarnation incarnation)> ownerStopping;
 
 private:
     class Impl;
--- a/include/berylspur/membership/member_table.h
+++ b/include/berylspur/membership/member_table.h
@@ -20,8 +20,9 @@
 namespace berylspur {
 
 /// All known members, including this node. The record with the higher (incarnation, sequence) wins;
-/// if they are equal, the worse status wins. Dead members stay known for GoneMemberRetention, so
-/// that their keys are not claimed at another home.
+/// if they are equal, the worse status wins. A stop is final for an incarnation, so it is learned
+/// from any of its records, however old. Dead members stay known for GoneMemberRetention, so that
+/// their keys are not claimed at another home.
 class MemberTable
 {
 public:
@@ -42,6 +43,11 @@
     bool setOwnEndpoints(const std::vector<schema::EndpointRecord> &endpoints);
     /// Publishes this node's state as home of idempotency keys. Returns true if it changed.
     bool setKeyQuorum(schema::KeyQuorum quorum);
+    /// Marks this node as stopping: its endpoints admit no new requests. Returns true if it
+    /// changed.
+    bool beginStop();
+    /// Marks \a node as stopping if \a incarnation is its known one. Returns true if it changed.
+    bool learnStop(const std::string &node, Incarnation incarnation);
     /// Marks this node as having left (planned stop).
     void setLeft();
     const schema::MemberRecord &self() const;
@@ -88,7 +94,7 @@
     std::size_t contactCountSince(TimePoint since) const;
 
     /// Endpoints of \a service on all members of the table, sorted by id. Those of dead and left
-    /// members have ownerAlive unset.
+    /// members have ownerAlive unset, those of stopping members are draining.
     std::vector<EndpointView> endpoints(const std::string &service) const;
     /// Endpoints that \a node publishes, and those that its earlier processes published.
     std::vector<schema::EndpointRecord> earlierEndpoints(const std::string &node) const;
@@ -136,6 +142,11 @@
     };
 
     bool mergeOwn(const schema::MemberRecord &record, TimePoint now);
+    /// Merges a record that is not older than that of \a member. Returns true if it changed.
+    bool mergeKnown(Member &member, const schema::MemberRecord &record, TimePoint now);
+    /// Replaces the record of \a member, with its endpoints.
+    void replaceRecord(Member &member, const schema::MemberRecord &record, TimePoint now);
+    bool markStopping(Member &member);
     bool mergeWithoutEndpoints(Member &member, const schema::MemberRecord &record, TimePoint now);
     bool mergeStatus(Member &member, const schema::MemberRecord &record, TimePoint now);
     bool setStatus(const std::string &node, schema::MemberStatus status, TimePoint now);
--- a/include/berylspur/membership/membership_task.h
+++ b/include/berylspur/membership/membership_task.h
@@ -39,7 +39,11 @@
     void setConfigRevision(std::uint64_t revision);
     /// Sets the state as home of idempotency keys, published in this node's member record.
     void setKeyQuorum(schema::KeyQuorum quorum);
-    /// Announces a planned stop to peers.
+    /// Announces to peers that this node admits no new requests.
+    void beginStop();
+    /// Records that \a node stops, as a reply of its process \a incarnation said.
+    void learnStop(const std::string &node, Incarnation incarnation);
+    /// Announces to peers that this node has left.
     void leave();
     /// Handles PeerMethod::Sync and returns the response envelope.
     std::string handleSync(const std::string &envelope);
--- a/src/gate/gate_context.h
+++ b/src/gate/gate_context.h
@@ -88,6 +88,8 @@
     /// on this host sends while it serves another request.
     std::function<ParentRun(const std::string &id)> parentRun;
     std::function<void(const NestedCallEnded &)> onNestedCallEnd;
+    /// Called when the process \a incarnation of \a node refused a request because it stops.
+    std::function<void(const std::string &node, Incarnation incarnation)> onOwnerStopping;
 
     /// Drops what is kept for nodes, endpoints and services that no longer exist.
     void forgetAbsent();
--- a/src/gate/gate_request_dispatch.cpp
+++ b/src/gate/gate_request_dispatch.cpp
@@ -240,6 +240,8 @@
     }
     m_context.calledServices.onReport(m_routeKey, reply.load(), now);
     const auto code = errorFromNumber(reply.code());
+    if (code == ErrorCode::NotRunStopping)
+        m_context.onOwnerStopping(m_node, reply.incarnation());
     if (reply.load().suspicion() > 0 || code == ErrorCode::EndpointFailed
         || code == ErrorCode::EndpointResponseInvalid)
         m_context.picker.onRequestFailed(m_endpoint, now);
--- a/src/gate/gate_task.cpp
+++ b/src/gate/gate_task.cpp
@@ -76,6 +76,9 @@
         m_context.onNestedCallEnd = [&task](const NestedCallEnded &call) {
             task.nestedCallEnded.emit(call);
         };
+        m_context.onOwnerStopping = [&task](const std::string &node, Incarnation incarnation) {
+            task.ownerStopping.emit(node, incarnation);
+        };
         m_context.parentRun = [&task](const std::string &id) { return task.parentRun.emit(id); };
         m_limits.maxBodyBytes = settings.limits().max_body_bytes();
         m_limits.maxHeaderBytes = settings.limits().max_header_bytes();
--- a/src/membership/gossip_machine.cpp
+++ b/src/membership/gossip_machine.cpp
@@ -220,7 +220,9 @@
         // A sender that considers this node dead might not receive the push.
         if (isOwn)
             sendRecord(out, record.node(), false, packet.from_address(), now);
-        return;
+        // Only the stop was learned if the record is of newer endpoints, which it doesn't contain.
+        if (isOwn || std::is_lteq(m_table.compareVersion(record)))
+            return;
     }
     // A record without an incarnation is a request. Any other older record shows that its sender is
     // out of date. The reply has no endpoints; the sender then requests the full record if its
@@ -333,6 +335,18 @@
     return true;
 }
 
+void GossipMachine::beginStop()
+{
+    if (m_table.beginStop())
+        onRecordChanged(m_table.self(), false, UpdateOrigin::Own);
+}
+
+void GossipMachine::learnStop(const std::string &node, Incarnation incarnation)
+{
+    if (m_table.learnStop(node, incarnation))
+        onRecordChanged(*m_table.find(node), false, UpdateOrigin::Forwarded);
+}
+
 void GossipMachine::leave()
 {
     m_table.setLeft();
--- a/src/membership/member_table.cpp
+++ b/src/membership/member_table.cpp
@@ -70,39 +70,53 @@
     m_now = std::max(m_now, now);
     if (record.node() == m_selfName)
         return mergeOwn(record, now);
-    const auto goneFor = std::chrono::seconds(record.gone_s());
     const auto found = m_members.find(record.node());
-    if (found == m_members.end()) {
-        const bool isExpired = isGone(record.status()) && goneFor >= GoneMemberRetention;
-        if (record.full_bytes() > 0 || record.node().empty() || isExpired)
-            return false;
-        m_nodesByHash[nameHash(record.node())] = record.node();
-    } else {
-        const auto order = compareVersions(record, found->second.record);
-        if (std::is_lt(order))
-            return false;
-        if (std::is_eq(order))
-            return mergeStatus(found->second, record, now);
-        if (record.full_bytes() > 0)
-            return mergeWithoutEndpoints(found->second, record, now);
-        removeFromServiceIndex(found->second.record);
+    if (found != m_members.end()) {
+        const bool isStopNew = record.stopping() && learnStop(record.node(), record.incarnation());
+        return mergeKnown(found->second, record, now) || isStopNew;
     }
-    Member &member = m_members[record.node()];
-    if (member.record.incarnation() != record.incarnation()) {
+    const bool isExpired =
+            isGone(record.status()) && std::chrono::seconds(record.gone_s()) >= GoneMemberRetention;
+    if (record.full_bytes() > 0 || record.node().empty() || isExpired)
+        return false;
+    m_nodesByHash[nameHash(record.node())] = record.node();
+    replaceRecord(m_members[record.node()], record, now);
+    return true;
+}
+
+bool MemberTable::mergeKnown(Member &member, const schema::MemberRecord &record, TimePoint now)
+{
+    const auto order = compareVersions(record, member.record);
+    if (std::is_lt(order))
+        return false;
+    if (std::is_eq(order))
+        return mergeStatus(member, record, now);
+    if (record.full_bytes() > 0)
+        return mergeWithoutEndpoints(member, record, now);
+    replaceRecord(member, record, now);
+    return true;
+}
+
+void MemberTable::replaceRecord(Member &member, const schema::MemberRecord &record, TimePoint now)
+{
+    const bool isSameProcess = member.record.incarnation() == record.incarnation();
+    const bool isStopping = record.stopping() || (isSameProcess && member.record.stopping());
+    removeFromServiceIndex(member.record);
+    if (!isSameProcess) {
         member.suspicions.clear();
         keepEarlierEndpoints(member);
-        member.endpointsSince = now;
-    } else if (member.record.endpoints_sequence() != record.endpoints_sequence()) {
-        member.endpointsSince = now;
     }
+    if (!isSameProcess || member.record.endpoints_sequence() != record.endpoints_sequence())
+        member.endpointsSince = now;
     member.record = record;
+    member.record.set_stopping(isStopping);
     trackSuspicions(member);
     member.record.clear_gone_s();
+    const auto goneFor = std::chrono::seconds(record.gone_s());
     member.statusSince = isGone(record.status()) ? now - goneFor : now;
     member.lastContact = isGone(record.status()) ? member.lastContact : now;
     addToServiceIndex(member.record);
     ++m_version;
-    return true;
 }
 
 bool MemberTable::mergeWithoutEndpoints(Member &member, const schema::MemberRecord &record,
@@ -189,6 +203,33 @@
     return true;
 }
 
+bool MemberTable::beginStop()
+{
+    Member &member = m_members[m_selfName];
+    if (!markStopping(member))
+        return false;
+    member.record.set_sequence(member.record.sequence() + 1);
+    return true;
+}
+
+bool MemberTable::learnStop(const std::string &node, Incarnation incarnation)
+{
+    const auto found = m_members.find(node);
+    if (found == m_members.end() || node == m_selfName
+        || found->second.record.incarnation() != incarnation)
+        return false;
+    return markStopping(found->second);
+}
+
+bool MemberTable::markStopping(Member &member)
+{
+    if (member.record.stopping())
+        return false;
+    member.record.set_stopping(true);
+    ++m_version;
+    return true;
+}
+
 void MemberTable::setLeft()
 {
     schema::MemberRecord &self = m_members[m_selfName].record;
@@ -385,7 +426,8 @@
                              .node = node,
                              .failureDomain = record.failure_domain(),
                              .slots = endpoint.slots(),
-                             .readiness = readinessOf(endpoint.state()),
+                             .readiness = record.stopping() ? EndpointReadiness::Draining
+                                                            : readinessOf(endpoint.state()),
                              .severity = endpoint.suspicion().severity(),
                              .rule = endpoint.suspicion().rule(),
                              .failsRequests = endpoint.suspicion().fails_requests(),
@@ -515,6 +557,7 @@
         record.set_status(stored.status());
         record.set_endpoints_sequence(stored.endpoints_sequence());
         record.set_key_quorum(stored.key_quorum());
+        record.set_stopping(stored.stopping());
         record.set_full_bytes(static_cast<std::uint32_t>(stored.ByteSizeLong()));
     }
     if (isGone(stored.status()))
--- a/src/membership/membership_task.cpp
+++ b/src/membership/membership_task.cpp
@@ -361,6 +361,16 @@
     m_impl->setKeyQuorum(quorum);
 }
 
+void MembershipTask::beginStop()
+{
+    m_impl->beginStop();
+}
+
+void MembershipTask::learnStop(const std::string &node, Incarnation incarnation)
+{
+    m_impl->learnStop(node, incarnation);
+}
+
 void MembershipTask::leave()
 {
     m_impl->leave();
--- a/src/membership/membership_task_impl.h
+++ b/src/membership/membership_task_impl.h
@@ -63,6 +63,15 @@
             pushNow();
     }
     void saveDepartures(std::function<void()> done);
+    void beginStop()
+    {
+        m_machine.beginStop();
+        pushNow();
+    }
+    void learnStop(const std::string &node, Incarnation incarnation)
+    {
+        m_machine.learnStop(node, incarnation);
+    }
     void leave()
     {
         m_machine.leave();
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -193,6 +193,9 @@
     m_gate.decisionMade.connect([this](const schema::DecisionRecord &decision) {
         recordDecision(decision, decision.kind() == schema::DECISION_REFUSE);
     });
+    m_gate.ownerStopping.connect([this](const std::string &node, Incarnation incarnation) {
+        m_membership.learnStop(node, incarnation);
+    });
     m_gate.parentRun.connect([this](const std::string &id) { return m_owner.parentRun(id); });
     m_gate.nestedCallEnded.connect(
             [this](const NestedCallEnded &call) { m_owner.onNestedCallEnded(call); });
@@ -459,6 +462,7 @@
     }
     log::info("stop-began", {{"gate", m_gate.openRequests()}, {"owner", m_owner.openRequests()}});
     m_stop.emplace(stopTimes(), BootClock::now());
+    m_membership.beginStop();
     m_owner.stop();
     m_quotaHome.close();
     pollStop();
--- a/src/owner/owner_report.cpp
+++ b/src/owner/owner_report.cpp
@@ -64,7 +64,7 @@
         record.set_id(id);
         record.set_service(endpoint->info.service);
         record.set_slots(endpoint->info.slots);
-        const bool leaving = m_stopping || endpoint->isDraining() || !endpoint->lease.isValid(now);
+        const bool leaving = endpoint->isDraining() || !endpoint->lease.isValid(now);
         record.set_state(leaving ? schema::ENDPOINT_DRAINING : toSchema(endpoint->info.readiness));
         fillSuspicion(record, endpoint->detector);
         record.set_started_at_ms(endpoint->info.startedAtMs);
--- a/src/owner/owner_task_impl.h
+++ b/src/owner/owner_task_impl.h
@@ -63,11 +63,7 @@
     /// Running request that made the nested call with this id; null if there is none.
     OwnedRequest *parentOf(const std::string &id) const;
     void onNestedCallEnded(const NestedCallEnded &call);
-    void stop()
-    {
-        m_stopping = true;
-        publish(BootClock::now());
-    }
+    void stop() { m_stopping = true; }
     void refuseQueuedRequests();
     std::size_t openRequests() const;
     nlohmann::json dump() const;
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -65,6 +65,18 @@
     return rc::gen::container<std::vector<schema::MemberRecord>>(one);
 }
 
+/// Records of which any may say that its process stops, as peers that learned it send older ones.
+rc::Gen<std::vector<schema::MemberRecord>> recordsWithStops()
+{
+    return rc::gen::map(rc::gen::pair(records(), rc::gen::arbitrary<std::uint64_t>()),
+                        [](std::pair<std::vector<schema::MemberRecord>, std::uint64_t> input) {
+                            auto &[list, stops] = input;
+                            for (std::size_t i = 0; i < list.size(); ++i)
+                                list[i].set_stopping((stops >> (i % 64) & 1) != 0);
+                            return list;
+                        });
+}
+
 std::string viewOf(const MemberTable &table)
 {
     std::string view;
@@ -93,7 +105,7 @@
 {
     BOOST_TEST(holds(
             [] {
-                auto list = *records();
+                auto list = *recordsWithStops();
                 const auto expected = merged(list);
                 std::reverse(list.begin(), list.end());
                 RC_ASSERT(merged(list) == expected);
@@ -108,7 +120,7 @@
 {
     BOOST_TEST(holds(
             [] {
-                const auto list = *records();
+                const auto list = *recordsWithStops();
                 MemberTable table(selfRecord());
                 for (const auto &record : list)
                     table.merge(record, Start);
@@ -244,6 +256,87 @@
     BOOST_TEST(!receiver.merge(refutation, Start));
 }
 
+namespace {
+
+/// A record of "peer" that is merged.
+struct MergeStep
+{
+    std::uint64_t incarnation;
+    std::uint64_t sequence;
+    bool isStopping;
+    bool hasEndpoints = true;
+};
+
+struct StopCase
+{
+    const char *name;
+    std::vector<MergeStep> steps;
+    EndpointReadiness readiness; ///< of the peer's endpoint after the steps
+};
+
+std::ostream &operator<<(std::ostream &out, const StopCase &row)
+{
+    return out << row.name;
+}
+
+schema::MemberRecord recordOf(const MergeStep &step)
+{
+    auto record = peerRecord(step.incarnation, step.sequence, schema::MEMBER_ALIVE);
+    record.clear_endpoints();
+    record.set_stopping(step.isStopping);
+    record.set_endpoints_sequence(step.sequence);
+    if (!step.hasEndpoints) {
+        record.set_full_bytes(100);
+        return record;
+    }
+    auto &endpoint = *record.add_endpoints();
+    endpoint.set_id("peer/0");
+    endpoint.set_service("scan");
+    endpoint.set_state(schema::ENDPOINT_READY);
+    return record;
+}
+
+const std::vector<StopCase> StopCases {
+        {"none", {{2, 5, false}, {2, 6, false}}, EndpointReadiness::Ready},
+        {"in a full record", {{2, 5, false}, {2, 6, true}}, EndpointReadiness::Draining},
+        {"without the new endpoints",
+         {{2, 5, false}, {2, 6, true, false}},
+         EndpointReadiness::Draining},
+        {"in an older record", {{2, 5, false}, {2, 4, true, false}}, EndpointReadiness::Draining},
+        {"kept by a later record", {{2, 5, true}, {2, 6, false}}, EndpointReadiness::Draining},
+        {"of an earlier process", {{2, 5, false}, {1, 6, true}}, EndpointReadiness::Ready},
+        {"before a restart", {{2, 5, true}, {3, 1, false}}, EndpointReadiness::Ready},
+        {"of a later process of unknown endpoints",
+         {{2, 5, false}, {3, 1, true, false}},
+         EndpointReadiness::Ready},
+};
+
+} // namespace
+
+// Guards against requests to a process that stops, and against a restarted one that gets none.
+BOOST_DATA_TEST_CASE(stop_is_learned_from_any_record_of_the_process, data::make(StopCases), sample)
+{
+    MemberTable table(selfRecord());
+    for (const auto &step : sample.steps)
+        table.merge(recordOf(step), Start);
+    BOOST_REQUIRE(table.endpoints("scan").size() == 1U);
+    BOOST_TEST((table.endpoints("scan").front().readiness == sample.readiness));
+}
+
+// Guards against a stop that stays unknown to the peers of a node that learned it from a refusal,
+// and against one of an earlier process that drains its successor.
+BOOST_DATA_TEST_CASE(learned_stop_is_sent_on, data::make({1U, 2U, 3U}), incarnation)
+{
+    const bool isKnownProcess = incarnation == 2;
+    MemberTable table(selfRecord());
+    table.merge(recordOf({2, 5, false}), Start);
+    BOOST_TEST(table.learnStop("peer", incarnation) == isKnownProcess);
+    BOOST_TEST(!table.learnStop("peer", incarnation));
+    BOOST_TEST(!table.learnStop("unknown", incarnation));
+    BOOST_TEST(table.exportRecord("peer", false, Start)->stopping() == isKnownProcess);
+    BOOST_TEST(table.exportRecord("peer", true, Start)->stopping() == isKnownProcess);
+}
+
 // Guards against members that are declared dead because one node cannot send to some of them, while
 // the other nodes still can.
 BOOST_DATA_TEST_CASE(one_way_partition_keeps_members_alive, data::xrange(5), seed)
--- a/tests/suspicion_updates_test.cpp
+++ b/tests/suspicion_updates_test.cpp
@@ -5,7 +5,9 @@
 #include "gossip_fleet.h"
 
 #include <algorithm>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <ostream>
 #include <random>
 
 using namespace berylspur;
@@ -48,9 +50,9 @@
     static constexpr Duration RequestInterval = 1s;
     static constexpr double FailureShare = 0.6;
 
-    ChurningFleet() : m_fleet({.nodes = Nodes})
+    explicit ChurningFleet(std::size_t failingNodes = FailingNodes) : m_fleet({.nodes = Nodes})
     {
-        for (std::size_t i = 0; i < FailingNodes; ++i)
+        for (std::size_t i = 0; i < failingNodes; ++i)
             m_endpoints.push_back({.node = i, .nextRequest = m_fleet.now + RequestInterval});
     }
 
@@ -103,6 +105,33 @@
         return static_cast<double>(unseen) / static_cast<double>(count * (Nodes - count));
     }
 
+    /// Runs for \a time, begins the stop of the last \a count nodes, and returns the share of views
+    /// that have an endpoint of one of them as ready \a lag later.
+    double unseenStopShare(Duration time, std::size_t count, Duration lag)
+    {
+        const auto runFor = [this](Duration duration) {
+            m_fleet.run(duration, [this] { return step(), false; });
+        };
+        const GrayDetector trusted(DetectionMode::Gray, DetectorPolicy::sparse());
+        for (std::size_t i = Nodes - count; i < Nodes; ++i)
+            m_fleet.machines[i].setOwnEndpoints({recordOf(i, trusted)});
+        runFor(time);
+        for (std::size_t i = Nodes - count; i < Nodes; ++i)
+            m_fleet.machines[i].beginStop();
+        runFor(lag);
+        std::size_t unseen = 0;
+        for (std::size_t i = Nodes - count; i < Nodes; ++i) {
+            const auto id = "e-" + std::to_string(i);
+            unseen += m_fleet.countViewsWhere([&id](const MemberTable &table) {
+                const auto view = table.endpoints("svc");
+                return std::any_of(view.begin(), view.end(), [&id](const EndpointView &endpoint) {
+                    return endpoint.id == id && endpoint.readiness == EndpointReadiness::Ready;
+                });
+            });
+        }
+        return static_cast<double>(unseen) / static_cast<double>(count * Nodes);
+    }
+
 private:
     void step()
     {
@@ -167,6 +196,38 @@
     BOOST_TEST(unseen < 0.01);
 }
 
+namespace {
+
+struct StopLoad
+{
+    const char *name;
+    std::size_t failingNodes;
+    std::size_t stoppingNodes;
+};
+
+std::ostream &operator<<(std::ostream &out, const StopLoad &row)
+{
+    return out << row.name;
+}
+
+const std::vector<StopLoad> StopLoads {
+        {"a third stops, a third fails", ChurningFleet::FailingNodes, 30},
+        {"two thirds fail", 59, 9},
+};
+
+} // namespace
+
+// Guards against gates that send requests to nodes that stop: the stop was part of the endpoints of
+// a record, which most copies of an update leave out, and waited for push budget.
+BOOST_DATA_TEST_CASE(stops_are_known_to_all_gates_after_the_push_burst,
+                     boost::unit_test::data::make(StopLoads), load)
+{
+    ChurningFleet fleet(load.failingNodes);
+    const double unseen = fleet.unseenStopShare(40s, load.stoppingNodes, 500ms);
+    BOOST_TEST_MESSAGE("share of views in which a stopping endpoint is ready: " << unseen);
+    BOOST_TEST(unseen < 0.01);
+}
+
 // Guards against a trial that begins in no view, too early after the next suspicion, or later each
 // time the record is sent again.
 BOOST_AUTO_TEST_CASE(trial_begins_in_the_view_after_its_delay)
