--- a/tests/failing_endpoints_test.cpp
+++ b/tests/failing_endpoints_test.cpp
@@ -180,6 +180,26 @@
     BOOST_TEST(shareSentToFailing(view, rotationConfig(service(), view), Failing) == 0.0);
 }
 
+namespace {
+
+/// The smallest, the usual and the largest size of a service in the deployments.
+const std::vector<std::size_t> ServiceSizes {4, 8, 30};
+
+} // namespace
+
+// Guards against a service that is closed by its own detectors: of seven endpoints that failed a
+// part of their requests four were ejected at once, and the others refused requests for full
+// queues.
+BOOST_DATA_TEST_CASE(failing_endpoints_do_not_close_the_service, data::make(ServiceSizes), size)
+{
+    const std::size_t floor = (size * FloorPercent + 99) / 100;
+    for (std::size_t failing = 1; failing <= size; ++failing) {
+        const auto view = makeView(size, failing, 0);
+        const auto counts = rotation(view, rotationConfig(service(), view)).counts();
+        BOOST_TEST(counts.ejected <= size - floor, failing << " of " << size << " fail");
+    }
+}
+
 // Guards against ejection below the floor for failing endpoints, and against ejecting slow
 // endpoints below the full floor, in any view.
 BOOST_AUTO_TEST_CASE(floors_hold_for_any_view)
